--- /dev/null
+++ b/ironfall/__init__.py
@@ -0,0 +1,1 @@
+"""ironfall: a control plane that decides the tables of a service's proxies."""
--- /dev/null
+++ b/ironfall/drill/wire.py
@@ -0,0 +1,251 @@
+"""Frames of the bench's wire: what comes in becomes calls on a director, what it orders becomes records."""
+
+import json
+import random
+import struct
+from collections.abc import Iterable
+from typing import Any, BinaryIO
+
+from ironfall.interface import ExchangeClass, Listing, ServiceTerms
+from ironfall.logic import Director
+
+EVENT, ACTION, ENTRY = 56, 16, 25
+HEAD = struct.Struct(">IdII")
+REPLY = struct.Struct(">III")
+LISTED = struct.Struct(">6sHHHBfd")
+OBSERVED = struct.Struct(">H6sIIddBffff")
+PROBED = struct.Struct(">6sHdBffff")
+INTAKE = struct.Struct(">IIHHd")
+ATTACHED = struct.Struct(">HHfB")
+GONE, READY, DRAINING = 0, 1, 2
+DELTA, FAILED, FULL, CACHED = 1, 2, 3, 0
+REPEATABLE = {"pure": "always", "token": "keyed"}
+
+
+class Malformed(Exception):
+    """The frame is not one; the text says what is wrong and where."""
+
+
+def tenths(ms: float) -> int:
+    return round(ms * 10)
+
+
+def read_terms(raw: bytes) -> ServiceTerms:
+    """Read the start message; optional keys may be absent and unknown ones are skipped."""
+    top: dict[str, Any] = json.loads(raw)
+    info, rules, limits = top.get("FamilyInfo", {}), top.get("Contract", {}), top.get("Limits", {})
+    prices = top.get("Prices", {})
+    if info.get("KeyRanges", 0):
+        raise NotImplementedError("this site has slices (KeyRanges > 0), which ironfall does not serve yet")
+    home = info.get("HomeOnly") or []
+    classes = tuple(
+        ExchangeClass(
+            expected_time=tenths(c["Aim"]),
+            abandon_time=tenths(c["Deadline"]),
+            earnings=c.get("Worth", 1.0),
+            repeatable=REPEATABLE.get(c.get("Effect", ""), "never"),
+            key_scope=c.get("KeyScope", ""),
+            key_life=tenths(c.get("KeyTtl", 0)),
+            home_only=bool(k < len(home) and home[k]),
+        )
+        for k, c in enumerate(top["RequestClasses"])
+    )
+    report = top.get("Report", {})
+    return ServiceTerms(
+        zones=len(top.get("Dcs", [])) or 1,
+        zone=top.get("Zone", 0),
+        classes=classes,
+        proxies=info.get("ProxyCount", 1),
+        listed_weights=top.get("Weights", "silent") != "silent",
+        ask_for_list=top.get("MembershipMode") == "on_request",
+        ask_within=tenths(rules.get("AskWithin", 10000)),
+        drain_grace=tenths(rules.get("StopSendingWithin", 1000)),
+        cold_time=tenths(rules.get("Cold", 0)),
+        cold_share=rules.get("StartCapacity", 1.0),
+        cold_multiple=rules.get("FallMultiple", 1.0),
+        cold_window=tenths(rules.get("OverloadFor", 0)),
+        bare_time=tenths(info.get("Bare", 1000)),
+        lines_per_second=info.get("LinesPerS", 1000.0),
+        queue_limit=info.get("QueueCap", 1000.0),
+        message_head=info.get("Overhead", 0.0),
+        message_limit=info.get("MessagesMost", 0),
+        message_span=tenths(info.get("UpdateWindow", 10000)),
+        slowest_message=tenths(info.get("TransitMax", 1000)),
+        report_every=tenths(info.get("ReportEvery", 1000)),
+        next_try_wait=info.get("PerTry", 1.0),
+        admits_by_rate=info.get("ThrottleBy") == "per_second",
+        admits=info.get("ThrottleBy", "silent") != "silent",
+        may_probe=bool(limits.get("Probing")),
+        probe_price=prices.get("Probe", 0.0),
+        crossing_price=prices.get("CrossZone", 0.0),
+        worst_class_weight=top.get("Goal", {}).get("WorstClass", 0.0),
+        gauges=tuple(report.get("Columns") or ()),
+    )
+
+
+class Writer:
+    """The reply being written: one for the process, since a frame's records share a tail."""
+
+    def __init__(self) -> None:
+        self.records, self.tail = bytearray(), bytearray()
+
+    def add(self, fields: bytes) -> None:
+        self.records += fields.ljust(ACTION, b"\0")
+
+    def text(self, code: int, instance: int, text: str) -> None:
+        blob = text.encode()
+        self.add(struct.pack(">BHII", code, instance, len(self.tail), len(blob)))
+        self.tail += blob
+
+    def reply(self, number: int) -> bytes:
+        frame = REPLY.pack(number, len(self.records) // ACTION, len(self.records) + len(self.tail))
+        frame += bytes(self.records) + bytes(self.tail)
+        self.records.clear()
+        self.tail.clear()
+        return frame
+
+
+class WireOrders:
+    """`Orders` of one instance, each written into the reply as it is given."""
+
+    def __init__(self, writer: Writer, instance: int) -> None:
+        self.writer, self.instance = writer, instance
+
+    def _add(self, form: str, code: int, *fields: Any) -> None:
+        self.writer.add(struct.pack(">BH" + form, code, self.instance, *fields))
+
+    def set_line(self, table: int, host: bytes, weight: float) -> None:
+        self._add("H6sf", 22, table, host, weight)
+
+    def bind(self, proxy: int, table: int, classes: int) -> None:
+        self._add("HHH", 20, proxy, table, classes)
+
+    def withdraw(self, host: bytes, out: bool) -> None:
+        self._add("6sB", 24, host, out)
+
+    def admit(self, table: int, classes: int, level: float, tries: int) -> None:
+        self._add("fBHH", 26, level, tries, classes, table)
+
+    def probe(self, host: bytes) -> None:
+        self._add("6s", 17, host)
+
+    def mark(self, number: int) -> None:
+        self._add("QB", 18, number, 0)
+
+    def watch_list(self) -> None:
+        self._add("B", 16, 1)
+
+    def wake(self, delay: int, token: int) -> None:
+        self._add("dI", 21, delay / 10, token)
+
+    def note(self, text: str) -> None:
+        self.writer.text(23, self.instance, text)
+
+
+class Bench:
+    """All instances of this process, fed frame by frame."""
+
+    def __init__(self) -> None:
+        self.writer = Writer()
+        self.directors: dict[int, Director] = {}
+        self.columns: dict[int, tuple[str, ...]] = {}
+        self.pages: dict[int, list[tuple[Any, ...]]] = {}
+
+    def play(self, number: int, clock: float, count: int, body: bytes) -> bytes:
+        tail = EVENT * count
+        if len(body) < tail:
+            raise Malformed(f"batch {number}: {count} records need {tail} bytes, the frame has {len(body)}")
+        now = tenths(clock)
+        broken: set[int] = set()
+        for at in range(0, tail, EVENT):
+            code = body[at]
+            if code == 19:
+                page, start, entries = struct.unpack_from(">BII", body, at + 1)
+                begin, end = tail + start, tail + start + ENTRY * entries
+                if end > len(body):
+                    raise Malformed(f"batch {number}, record {at // EVENT}: list entries run past the frame")
+                self.pages[page] = list(LISTED.iter_unpack(body[begin:end]))
+                continue
+            instance = int.from_bytes(body[at + 1 : at + 3], "big")
+            if instance in broken:
+                continue
+            try:
+                self._event(code, instance, now, body, at, tail)
+            except Malformed as wrong:
+                raise Malformed(f"batch {number}, record {at // EVENT}: {wrong}") from None
+            except Exception as cause:  # the wire has a report for this, which names the cause
+                broken.add(instance)
+                self.directors.pop(instance, None)
+                self.writer.text(19, instance, f"{type(cause).__name__}: {cause}")
+        return self.writer.reply(number)
+
+    def _event(self, code: int, instance: int, now: int, body: bytes, at: int, tail: int) -> None:
+        if code == 29:
+            seed, start, length = struct.unpack_from(">QII", body, at + 3)
+            if tail + start + length > len(body):
+                raise Malformed("the start message runs past the frame")
+            terms = read_terms(body[tail + start : tail + start + length])
+            orders = WireOrders(self.writer, instance)
+            self.columns[instance] = terms.gauges
+            self.directors[instance] = Director(orders, terms, random.Random(seed), now)
+            return
+        if code not in (16, 17, 18, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30):
+            raise Malformed(f"unknown event code {code}")
+        director = self.directors.get(instance)
+        if director is None:
+            return
+        if code == 18:
+            zone, host, tries, failed, cost, covers, n, *values = OBSERVED.unpack_from(body, at + 3)
+            gauge = dict(zip(self.columns[instance], values[:n], strict=False))
+            director.heard(now, zone, host, tries, failed, tenths(cost), tenths(covers), gauge)
+        elif code == 24:
+            came, failed, proxy, kind, covers = INTAKE.unpack_from(body, at + 3)
+            director.arrived(now, proxy, kind, came, failed, tenths(covers))
+        elif code == 25:
+            director.woken(now, int.from_bytes(body[at + 3 : at + 7], "big"))
+        elif code == 16:
+            host, result, cost, n, *values = PROBED.unpack_from(body, at + 3)
+            gauge = dict(zip(self.columns[instance], values[:n], strict=False))
+            director.probed(now, host, result == 0, tenths(cost), gauge)
+        elif code == 20:
+            proxy, zone, rate, fresh = ATTACHED.unpack_from(body, at + 3)
+            director.joined(now, proxy, zone, rate, bool(fresh))
+        elif code == 30:
+            director.left(now, int.from_bytes(body[at + 3 : at + 5], "big"))
+        elif code == 21:
+            scope, _version, page = struct.unpack_from(">BQB", body, at + 3)
+            if scope == FAILED:
+                director.list_failed(now)
+            else:
+                if page not in self.pages:
+                    raise Malformed(f"page {page} was never given")
+                if scope == DELTA:
+                    director.list_changed(now, self._listing(page))
+                elif scope in (FULL, CACHED):
+                    director.list_whole(now, self._listing(page), scope == FULL)
+                else:
+                    raise Malformed(f"unknown scope {scope}")
+        elif code == 28:
+            proxy, mark, cost = struct.unpack_from(">HQd", body, at + 3)
+            director.applied(now, proxy, mark, tenths(cost))
+        elif code == 23:
+            del self.directors[instance]
+
+    def _listing(self, page: int) -> Iterable[Listing]:
+        for host, zone, model, _cell, state, weight, started in self.pages[page]:
+            yield Listing(host, zone, model, state == READY, weight, tenths(started))
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    bench = Bench()
+    done = 0
+    while head := source.read(HEAD.size):
+        if len(head) < HEAD.size:
+            raise Malformed(f"frame {done}: the header ends after {len(head)} of {HEAD.size} bytes")
+        number, clock, length, count = HEAD.unpack(head)
+        body = source.read(length - 4) if length >= 4 else b""
+        if length < 4 or len(body) < length - 4:
+            raise Malformed(f"batch {number}: the frame ends after {len(body)} of {length - 4} bytes")
+        sink.write(bench.play(number, clock, count, body))
+        sink.flush()
+        done += 1
--- /dev/null
+++ b/ironfall/interface.py
@@ -0,0 +1,75 @@
+"""What the decisions are handed at start (`ServiceTerms`) and what they act through (`Orders`).
+
+Times are whole tenths of a millisecond. A host is its six bytes, a table, zone, class or proxy its number.
+"""
+
+from dataclasses import dataclass
+from typing import NamedTuple, Protocol
+
+
+class Listing(NamedTuple):
+    """What the list says of a host."""
+
+    host: bytes
+    zone: int
+    model: int
+    ready: bool
+    weight: float
+    started: int  # clock time of the last start, 0 for long ago
+
+
+@dataclass(frozen=True)
+class ExchangeClass:
+    expected_time: int
+    abandon_time: int
+    earnings: float
+    repeatable: str  # "always", "keyed" or "never"
+    key_scope: str
+    key_life: int
+    home_only: bool
+
+
+@dataclass(frozen=True)
+class ServiceTerms:
+    """What the service's owner and its operators agreed on, as read at start."""
+
+    zones: int
+    zone: int
+    classes: tuple[ExchangeClass, ...]
+    proxies: int
+    listed_weights: bool
+    ask_for_list: bool
+    ask_within: int
+    drain_grace: int
+    cold_time: int
+    cold_share: float
+    cold_multiple: float
+    cold_window: int
+    bare_time: int
+    lines_per_second: float
+    queue_limit: float
+    message_head: float
+    message_limit: int  # 0 for none
+    message_span: int
+    slowest_message: int
+    report_every: int
+    next_try_wait: float
+    admits_by_rate: bool
+    admits: bool
+    may_probe: bool
+    probe_price: float
+    crossing_price: float
+    worst_class_weight: float
+    gauges: tuple[str, ...]
+
+
+class Orders(Protocol):
+    def set_line(self, table: int, host: bytes, weight: float) -> None: ...
+    def bind(self, proxy: int, table: int, classes: int) -> None: ...
+    def withdraw(self, host: bytes, out: bool) -> None: ...
+    def admit(self, table: int, classes: int, level: float, tries: int) -> None: ...
+    def probe(self, host: bytes) -> None: ...
+    def mark(self, number: int) -> None: ...
+    def watch_list(self) -> None: ...
+    def wake(self, delay: int, token: int) -> None: ...
+    def note(self, text: str) -> None: ...
--- /dev/null
+++ b/ironfall/logic.py
@@ -0,0 +1,328 @@
+"""The decisions of a director: which hosts the proxies' tables name, with what weight, and what is let in.
+
+How it is called: one `Director` an instance, made with the orders it acts through, the terms of the service, its
+own source of chance and the clock. Each method without an underscore is one thing that can happen; it acts at
+once through `Orders`. The interface (`Orders`, `ServiceTerms`, `Listing`) is in `ironfall/interface.py`. Times are
+whole tenths of a millisecond. Sources of each rule are in `docs/design.md`.
+"""
+
+import math
+import random
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ironfall.interface import Listing, Orders, ServiceTerms
+
+SECOND = 10_000
+TICK = SECOND // 2  # health twice a second, tables once, as the design gathers them
+QUARTER, RAMP = 0.25, 8 * SECOND  # the design's return of a retried or restarted host
+FIRST_WAIT, LONGEST_WAIT = 5 * SECOND, 60 * SECOND
+SMOOTH = 30 * SECOND  # the design's smoothing of rate and latency
+EVERYONE = 65535  # the wire's and the interface's table for all joined proxies
+
+
+@dataclass(slots=True)
+class Host:
+    """All that is known of one host."""
+
+    id: bytes
+    zone: int
+    order: int  # keeps decisions in the order of first listing, whatever the ids hash to
+    ready: bool = True
+    started: int = 0
+    share: float = 1.0  # the learnt weight
+    out: bool = False  # withdrawn from all tables
+    retry_at: int = 0
+    wait: int = FIRST_WAIT
+    eased: int = -10 * LONGEST_WAIT  # since when it comes back in steps
+    latency: float = 0.0
+    latency_mass: float = 0.0
+    recent: float = 0.0
+    recent_mass: float = 0.0
+    tries: list[float] = field(default_factory=list)  # by proxy zone, fading
+    fails: list[float] = field(default_factory=list)
+    lines: list[float] = field(default_factory=list)  # as last sent, by table
+
+
+@dataclass(slots=True)
+class Proxy:
+    zone: int
+    joined: int
+    rate: float
+    bound: bool = False
+
+
+class Director:
+    def __init__(self, orders: Orders, terms: ServiceTerms, chance: random.Random, now: int) -> None:
+        self.orders, self.chance = orders, chance
+        self.zones = terms.zones
+        self.home = terms.zone
+        self.hosts: dict[bytes, Host] = {}
+        self.proxies: dict[int, Proxy] = {}
+        self.demand = [0.0] * self.zones
+        self.cold_time, self.cold_share = terms.cold_time, terms.cold_share
+        self.hold = max(0, (min(terms.bare_time, terms.drain_grace) - terms.slowest_message) // 2)
+        self.asks = terms.ask_for_list
+        self.probes = terms.may_probe
+        self.fade = math.exp(-TICK / (2 * max(terms.report_every, SECOND)))
+        self.fade_recent = terms.report_every * 2
+        self.pace, self.queue, self.head = terms.lines_per_second, terms.queue_limit, terms.message_head
+        self.limit, self.span = terms.message_limit, terms.message_span
+        self.backlog, self.backlog_at = 0.0, now
+        self.moments: deque[int] = deque()
+        self.room = 1 + 2 * terms.crossing_price
+        self.worth = [c.earnings / c.expected_time for c in terms.classes]
+        self.work = [float(c.expected_time) for c in terms.classes]
+        self.tries = [self._tries(terms, k) for k in range(len(terms.classes))]
+        self.level = [1.0] * len(terms.classes)
+        self.told = [1.0] * len(terms.classes)
+        self.came = [0.0] * len(terms.classes)
+        self.expected = min(c.expected_time for c in terms.classes)
+        self.admits = terms.admits
+        self.let_in = 1.0
+        self.known = False  # a list newer than the one kept over the start
+        self.started = now
+        self.ticks = 0
+        orders.wake(TICK, 0)
+        if self.asks:
+            orders.watch_list()
+
+    @staticmethod
+    def _tries(terms: ServiceTerms, k: int) -> int:
+        """A second try after any failure only where it cannot take effect twice."""
+        c = terms.classes[k]
+        everywhere = c.key_scope == "all" and c.key_life >= c.abandon_time + terms.slowest_message
+        if c.repeatable == "always" or (c.repeatable == "keyed" and everywhere):
+            return 2
+        return 1
+
+    # The list
+
+    def list_whole(self, now: int, entries: Iterable[Listing], fresh: bool) -> None:
+        named = set()
+        for entry in entries:
+            named.add(entry.host)
+            self._list(now, entry)
+        for host in self.hosts.values():
+            if host.id not in named:
+                self._shut(now, host)
+        self.known = self.known or fresh
+        self._amnesty(now)
+
+    def list_changed(self, now: int, entries: Iterable[Listing]) -> None:
+        for entry in entries:
+            self._list(now, entry)
+        self.known = True
+        self._amnesty(now)
+
+    def list_failed(self, now: int) -> None:
+        self.orders.wake(SECOND + self.chance.randrange(SECOND), 1)
+
+    def _list(self, now: int, entry: Listing) -> None:
+        host = self.hosts.get(entry.host)
+        if not entry.ready:
+            if host:
+                self._shut(now, host)
+            return
+        if host is None:
+            host = self.hosts[entry.host] = Host(entry.host, entry.zone, len(self.hosts))
+            host.tries, host.fails = [0.0] * self.zones, [0.0] * self.zones
+            host.lines = [0.0] * self.zones
+            host.share = entry.weight if entry.weight > 0 else 1.0
+            host.started = entry.started
+            self._lay(now, [host])
+        elif not host.ready or entry.started > host.started:
+            # A restarted process is cold: it comes back by steps from what it can surely carry.
+            host.ready, host.started, host.wait = True, entry.started, FIRST_WAIT
+            host.tries, host.fails = [0.0] * self.zones, [0.0] * self.zones
+            host.latency_mass = host.recent_mass = 0.0
+            self._lay(now, [host])
+            self._return(now, host)
+
+    def _shut(self, now: int, host: Host) -> None:
+        if host.ready:
+            host.ready = False
+            if not host.out:
+                host.out = True
+                self._pay(now)
+                self.orders.withdraw(host.id, True)
+
+    # The proxies
+
+    def joined(self, now: int, proxy: int, zone: int, rate: float, fresh: bool) -> None:
+        self.proxies[proxy] = Proxy(zone, now, rate)
+        self.demand[zone] = sum(p.rate for p in self.proxies.values() if p.zone == zone)
+        if fresh or self.known or now - self.started > 10 * SECOND:
+            self._bind(now, proxy)
+
+    def left(self, now: int, proxy: int) -> None:
+        gone = self.proxies.pop(proxy, None)
+        if gone:
+            self.demand[gone.zone] = sum(p.rate for p in self.proxies.values() if p.zone == gone.zone)
+
+    def _bind(self, now: int, proxy: int) -> None:
+        it = self.proxies[proxy]
+        if not any(h.ready and not h.out for h in self.hosts.values()):
+            return
+        it.bound = True
+        self.backlog += self.head + 1 + 2 * len(self.hosts)
+        self.orders.bind(proxy, it.zone, 0)
+
+    # What is heard
+
+    def heard(
+        self, now: int, zone: int, host: bytes, tries: int, failed: int, cost: int, covers: int, gauge: dict[str, float]
+    ) -> None:
+        it = self.hosts.get(host)
+        if it is None or zone >= self.zones:
+            return
+        it.tries[zone] += tries
+        it.fails[zone] += failed
+        good = tries - failed
+        if good > 0 and cost > 0:
+            keep = math.exp(-covers / SMOOTH)
+            it.latency = (it.latency * it.latency_mass * keep + cost * good) / (it.latency_mass * keep + good)
+            it.latency_mass = it.latency_mass * keep + good
+            keep = math.exp(-covers / self.fade_recent)
+            it.recent = (it.recent * it.recent_mass * keep + cost * good) / (it.recent_mass * keep + good)
+            it.recent_mass = it.recent_mass * keep + good
+
+    def arrived(self, now: int, proxy: int, kind: int, came: int, failed: int, covers: int) -> None:
+        it = self.proxies.get(proxy)
+        if kind < len(self.came):
+            self.came[kind] += came
+
+    def probed(self, now: int, host: bytes, answered: bool, cost: int, gauge: dict[str, float]) -> None:
+        pass
+
+    def applied(self, now: int, proxy: int, mark: int, cost: int) -> None:
+        pass
+
+    # What comes due
+
+    def woken(self, now: int, token: int) -> None:
+        if token == 1:
+            self.orders.watch_list()
+            return
+        self.ticks += 1
+        self.orders.wake(TICK, 0)
+        for number, proxy in self.proxies.items():
+            if not proxy.bound and (self.known or now - proxy.joined >= self.hold):
+                self._bind(now, number)
+        self._judge(now)
+        if self.ticks % 2 == 0:
+            self._learn(now)
+            self._lay(now, list(self.hosts.values()))
+            self._ration(now)
+
+    def _judge(self, now: int) -> None:
+        inside = [h for h in self.hosts.values() if h.ready and not h.out]
+        tries, fails = sum(sum(h.tries) for h in inside), sum(sum(h.fails) for h in inside)
+        capacity = sum(h.share for h in self.hosts.values() if h.ready)
+        lost = sum(h.share for h in self.hosts.values() if h.ready and h.out)
+        for host in inside:
+            mine, bad = sum(host.tries), sum(host.fails)
+            rest = (fails - bad + 1) / (tries - mine + 4)
+            if mine >= 6 and bad > mine / 2 and bad / mine > 2 * rest and lost + host.share < 0.4 * capacity:
+                if not self._may(now, 0.8):
+                    break
+                lost += host.share
+                host.out = True
+                host.retry_at = now + host.wait
+                host.wait = min(2 * host.wait, LONGEST_WAIT)
+                self._pay(now)
+                self.orders.withdraw(host.id, True)
+        for host in self.hosts.values():
+            host.tries = [t * self.fade for t in host.tries]
+            host.fails = [f * self.fade for f in host.fails]
+            if host.ready and host.out and now >= host.retry_at and self._may(now, 0.6):
+                host.tries, host.fails = [0.0] * self.zones, [0.0] * self.zones
+                self._return(now, host)
+
+    def _return(self, now: int, host: Host) -> None:
+        host.eased = now
+        self._lay(now, [host])
+        if host.out:
+            host.out = False
+            self._pay(now)
+            self.orders.withdraw(host.id, False)
+
+    def _amnesty(self, now: int) -> None:
+        """Evidence never empties the tables: with nothing left, all ready hosts come back."""
+        if not any(h.ready and not h.out for h in self.hosts.values()):
+            for host in self.hosts.values():
+                if host.ready:
+                    self._return(now, host)
+
+    # Weights
+
+    def _learn(self, now: int) -> None:
+        seen = [h for h in self.hosts.values() if h.ready and h.latency_mass > 20]
+        if not seen:
+            return
+        goal = {h.id: math.sqrt(h.share) / h.latency for h in seen}
+        scale = sum(h.share for h in seen) / sum(goal.values())
+        for host in seen:
+            want = goal[host.id] * scale
+            if abs(want / host.share - 1) > 0.2:
+                host.share *= min(1.1, max(0.9, want / host.share))
+
+    def _strength(self, now: int, host: Host) -> float:
+        if not host.ready:
+            return 0.0
+        part = 1.0
+        if host.started and now - host.started < self.cold_time:
+            part = self.cold_share + (1 - self.cold_share) * max(0, now - host.started) / self.cold_time
+        if now - host.eased < RAMP:
+            part = min(part, QUARTER + (1 - QUARTER) * (now - host.eased) / RAMP)
+        return host.share * part
+
+    def _lay(self, now: int, hosts: list[Host]) -> None:
+        strength = {h.id: self._strength(now, h) for h in self.hosts.values()}
+        inside = [h for h in self.hosts.values() if h.ready and not h.out]
+        total = sum(strength[h.id] for h in inside) or 1.0
+        demand = sum(self.demand) or 1.0
+        for zone in range(self.zones):
+            near = sum(strength[h.id] for h in inside if h.zone == zone)
+            want = (self.demand[zone] / demand) or 1.0 / self.zones
+            stay = min(0.95, self.room * (near / total) / want)
+            away = 1.0
+            if 0 < near < total and stay > near / total:
+                away = (1 - stay) / stay * near / (total - near)
+            for host in hosts:
+                weight = strength[host.id] * (1.0 if host.zone == zone else away)
+                old = host.lines[zone]
+                if weight == old or (old and weight and 0.85 < weight / old < 1.18):
+                    continue
+                if old and not self._may(now, 0.5):
+                    continue
+                self._pay(now)
+                host.lines[zone] = weight
+                self.orders.set_line(zone, host.id, weight)
+
+    def _ration(self, now: int) -> None:
+        if self.told == [1.0] * len(self.told) and self.ticks == 2:
+            for k, tries in enumerate(self.tries):
+                if tries > 1:
+                    self._pay(now)
+                    self.orders.admit(EVERYONE, 1 << k, 1.0, tries)
+
+    # The channel
+
+    def _may(self, now: int, part: float) -> bool:
+        """Whether an order that can wait fits in this part of what the rules allow of lines and messages."""
+        while self.moments and now - self.moments[0] > self.span:
+            self.moments.popleft()
+        if self.limit and len(self.moments) >= part * self.limit and self.moments[-1] != now:
+            return False
+        # A third of the pace, since the channel may be slower than agreed and says so to nobody.
+        self.backlog = max(0.0, self.backlog - (now - self.backlog_at) / SECOND * self.pace / 3)
+        self.backlog_at = now
+        return self.backlog + (1 + self.head) * len(self.proxies) < part * self.queue
+
+    def _pay(self, now: int) -> None:
+        if not self.moments or self.moments[-1] != now:
+            self.moments.append(now)
+            self.backlog += self.head * len(self.proxies)
+        self.backlog += len(self.proxies)
