Take a host's rate for an equal share, so weights stop feeding on themselves

Cause: rate over latency multiplies the share it was given, so a fast host gathers share until it jams, then loses it at a tenth a solve.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -261,12 +261,13 @@
         seen = [h for h in self.hosts.values() if h.ready and h.latency_mass > 20]
         if not seen:
             return
-        goal = {h.id: math.sqrt(h.share) / h.latency for h in seen}
-        scale = sum(h.share for h in seen) / sum(goal.values())
+        # The rate is taken for an equal share: taken as it comes it follows the weight, and the weight would
+        # feed on itself until one host holds nearly all.
+        scale = sum(h.share for h in seen) / sum(1 / h.latency for h in seen)
         for host in seen:
-            want = goal[host.id] * scale
-            if abs(want / host.share - 1) > 0.2:
-                host.share *= min(1.1, max(0.9, want / host.share))
+            want = scale / host.latency / host.share
+            if abs(want - 1) > 0.2:
+                host.share *= min(1.1, max(0.9, 1 + (want - 1) / 5))
 
     def _strength(self, now: int, host: Host) -> float:
         if not host.ready:
