--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -50,6 +50,7 @@
     zone: int
     joined: int
     rate: float
+    came: float = 0.0  # since the last solve
     bound: bool = False
 
 
@@ -60,18 +61,20 @@
         self.home = terms.zone
         self.hosts: dict[bytes, Host] = {}
         self.proxies: dict[int, Proxy] = {}
-        self.demand = [0.0] * self.zones
         self.cold_time, self.cold_share = terms.cold_time, terms.cold_share
         self.hold = max(0, (min(terms.bare_time, terms.drain_grace) - terms.slowest_message) // 2)
         self.asks = terms.ask_for_list
         self.probes = terms.may_probe
         self.fade = math.exp(-TICK / (2 * max(terms.report_every, SECOND)))
+        self.report_every = terms.report_every
         self.fade_recent = terms.report_every * 2
         self.pace, self.queue, self.head = terms.lines_per_second, terms.queue_limit, terms.message_head
         self.limit, self.span = terms.message_limit, terms.message_span
         self.backlog, self.backlog_at = 0.0, now
         self.moments: deque[int] = deque()
         self.room = 1 + 2 * terms.crossing_price
+        # How far the lean goes: staying home is worth the crossing saved, spreading is worth the evenness.
+        self.lean = terms.crossing_price / (terms.crossing_price + 0.03)
         self.worth = [c.earnings / c.expected_time for c in terms.classes]
         self.work = [float(c.expected_time) for c in terms.classes]
         self.tries = [self._tries(terms, k) for k in range(len(terms.classes))]
@@ -152,14 +155,11 @@
 
     def joined(self, now: int, proxy: int, zone: int, rate: float, fresh: bool) -> None:
         self.proxies[proxy] = Proxy(zone, now, rate)
-        self.demand[zone] = sum(p.rate for p in self.proxies.values() if p.zone == zone)
         if fresh or self.known or now - self.started > 10 * SECOND:
             self._bind(now, proxy)
 
     def left(self, now: int, proxy: int) -> None:
-        gone = self.proxies.pop(proxy, None)
-        if gone:
-            self.demand[gone.zone] = sum(p.rate for p in self.proxies.values() if p.zone == gone.zone)
+        self.proxies.pop(proxy, None)
 
     def _bind(self, now: int, proxy: int) -> None:
         it = self.proxies[proxy]
@@ -190,7 +190,8 @@
 
     def arrived(self, now: int, proxy: int, kind: int, came: int, failed: int, covers: int) -> None:
         it = self.proxies.get(proxy)
-        if kind < len(self.came):
+        if it and kind < len(self.came):
+            it.came += came
             self.came[kind] += came
 
     def probed(self, now: int, host: bytes, answered: bool, cost: int, gauge: dict[str, float]) -> None:
@@ -258,6 +259,10 @@
     # Weights
 
     def _learn(self, now: int) -> None:
+        if any(p.came for p in self.proxies.values()):
+            for p in self.proxies.values():
+                p.rate += 0.1 * (p.came * SECOND / max(SECOND, self.report_every) - p.rate)
+                p.came = 0.0
         seen = [h for h in self.hosts.values() if h.ready and h.latency_mass > 20]
         if not seen:
             return
@@ -283,13 +288,15 @@
         strength = {h.id: self._strength(now, h) for h in self.hosts.values()}
         inside = [h for h in self.hosts.values() if h.ready and not h.out]
         total = sum(strength[h.id] for h in inside) or 1.0
-        demand = sum(self.demand) or 1.0
+        demand = sum(p.rate for p in self.proxies.values()) or 1.0
         for zone in range(self.zones):
             near = sum(strength[h.id] for h in inside if h.zone == zone)
-            want = (self.demand[zone] / demand) or 1.0 / self.zones
-            stay = min(0.95, self.room * (near / total) / want)
+            asked = sum(p.rate for p in self.proxies.values() if p.zone == zone)
+            want = (asked / demand) or 1.0 / self.zones
+            even = near / total
+            stay = even + self.lean * (min(0.95, self.room * even / want) - even)
             away = 1.0
-            if 0 < near < total and stay > near / total:
+            if 0 < near < total:
                 away = (1 - stay) / stay * near / (total - near)
             for host in hosts:
                 weight = strength[host.id] * (1.0 if host.zone == zone else away)
