Allow second tries only while some hosts fail and none jams

Cause: a second try gives up on the first after its own limit, so wherever hosts are slow it doubles the work: a jam that cleared by itself became a storm.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -79,7 +79,7 @@
         self.work = [float(c.expected_time) for c in terms.classes]
         self.tries = [self._tries(terms, k) for k in range(len(terms.classes))]
         self.level = [1.0] * len(terms.classes)
-        self.told = [1.0] * len(terms.classes)
+        self.way = [1] * len(terms.classes)
         self.came = [0.0] * len(terms.classes)
         self.expected = min(c.expected_time for c in terms.classes)
         self.admits = terms.admits
@@ -310,11 +310,20 @@
                 self.orders.set_line(zone, host.id, weight)
 
     def _ration(self, now: int) -> None:
-        if self.told == [1.0] * len(self.told) and self.ticks == 2:
-            for k, tries in enumerate(self.tries):
-                if tries > 1:
-                    self._pay(now)
-                    self.orders.admit(EVERYONE, 1 << k, 1.0, tries)
+        """A second try after any failure costs the time it gives up at: it pays where hosts fail fast, and only
+        feeds a jam where they are slow."""
+        inside = [h for h in self.hosts.values() if h.ready and not h.out]
+        mass = sum(h.recent_mass for h in inside)
+        slow = sum(h.recent * h.recent_mass for h in inside) / mass if mass else 0.0
+        tries, fails = sum(sum(h.tries) for h in inside), sum(sum(h.fails) for h in inside)
+        failing = fails / tries if tries else 0.0
+        again = 0.03 < failing < 0.3 and slow < 0.4 * self.expected
+        for k, most in enumerate(self.tries):
+            way = most if again else 1
+            if way != self.way[k] and self._may(now, 0.5):
+                self.way[k] = way
+                self._pay(now)
+                self.orders.admit(EVERYONE, 1 << k, 1.0, way)
 
     # The channel
 
