Admit by earnings per work when the fleet answers late or refuses

Shut by how late the fleet is, let out more slowly. Guards against any loss of capacity; hurts where lateness comes from few hosts.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -19,6 +19,7 @@
 QUARTER, RAMP = 0.25, 8 * SECOND  # the design's return of a retried or restarted host
 FIRST_WAIT, LONGEST_WAIT = 5 * SECOND, 60 * SECOND
 SMOOTH = 30 * SECOND  # the design's smoothing of rate and latency
+FLOOR = 0.25  # no class is shut out whole: the worst-served class counts too
 EVERYONE = 65535  # the wire's and the interface's table for all joined proxies
 
 
@@ -81,6 +82,7 @@
         self.level = [1.0] * len(terms.classes)
         self.way = [1] * len(terms.classes)
         self.came = [0.0] * len(terms.classes)
+        self.asked = [0.0] * len(terms.classes)
         self.expected = min(c.expected_time for c in terms.classes)
         self.admits = terms.admits
         self.let_in = 1.0
@@ -318,12 +320,26 @@
         tries, fails = sum(sum(h.tries) for h in inside), sum(sum(h.fails) for h in inside)
         failing = fails / tries if tries else 0.0
         again = 0.03 < failing < 0.3 and slow < 0.4 * self.expected
-        for k, most in enumerate(self.tries):
-            way = most if again else 1
-            if way != self.way[k] and self._may(now, 0.5):
-                self.way[k] = way
+        # Shut by how far the fleet is over what it answers in time, let out again more slowly than shut.
+        strain = max(slow / (0.5 * self.expected), failing / 0.25)
+        if strain > 1:
+            self.let_in = max(0.2, self.let_in * max(0.85, 1 - 0.15 * (strain - 1)))
+        elif strain < 0.8:
+            self.let_in = min(1.0, self.let_in + 0.03)
+        for k in range(len(self.came)):
+            self.asked[k] += 0.1 * (self.came[k] - self.asked[k])
+            self.came[k] = 0.0
+        work = [a * w for a, w in zip(self.asked, self.work, strict=True)]
+        shed = (1 - self.let_in) * (sum(work) or 1.0)
+        for k in sorted(range(len(work)), key=lambda k: self.worth[k]):
+            level = max(FLOOR, 1 - shed / work[k]) if work[k] else 1.0
+            shed = max(0.0, shed - (1 - level) * work[k])
+            way = self.tries[k] if again else 1
+            moved = abs(level - self.level[k]) > 0.04 or (level == 1 != self.level[k])
+            if (way != self.way[k] or (moved and self.admits)) and self._may(now, 0.5):
+                self.way[k], self.level[k] = way, level
                 self._pay(now)
-                self.orders.admit(EVERYONE, 1 << k, 1.0, way)
+                self.orders.admit(EVERYONE, 1 << k, level, way)
 
     # The channel
 
