--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -86,6 +86,7 @@
         self.expected = min(c.expected_time for c in terms.classes)
         self.admits = terms.admits
         self.let_in = 1.0
+        self.good = self.done = 0.0
         self.known = False  # a list newer than the one kept over the start
         self.started = now
         self.ticks = 0
@@ -182,6 +183,7 @@
         it.tries[zone] += tries
         it.fails[zone] += failed
         good = tries - failed
+        self.good += good
         if good > 0 and cost > 0:
             keep = math.exp(-covers / SMOOTH)
             it.latency = (it.latency * it.latency_mass * keep + cost * good) / (it.latency_mass * keep + good)
@@ -209,6 +211,8 @@
             self.orders.watch_list()
             return
         self.ticks += 1
+        for host in self.hosts.values():
+            host.recent_mass *= self.fade
         self.orders.wake(TICK, 0)
         for number, proxy in self.proxies.items():
             if not proxy.bound and (self.known or now - proxy.joined >= self.hold):
@@ -322,13 +326,17 @@
         again = 0.03 < failing < 0.3 and slow < 0.4 * self.expected
         # Shut by how far the fleet is over what it answers in time, let out again more slowly than shut.
         strain = max(slow / (0.5 * self.expected), failing / 0.25)
-        if strain > 1:
-            self.let_in = max(0.2, self.let_in * max(0.85, 1 - 0.15 * (strain - 1)))
-        elif strain < 0.8:
-            self.let_in = min(1.0, self.let_in + 0.03)
         for k in range(len(self.came)):
-            self.asked[k] += 0.1 * (self.came[k] - self.asked[k])
+            self.asked[k] += 0.3 * (self.came[k] - self.asked[k])
             self.came[k] = 0.0
+        self.done += 0.3 * (self.good - self.done)
+        self.good = 0.0
+        # Reports are late, so a cut goes on after it has helped: never shut below what was just fulfilled.
+        fulfilled = self.done / sum(self.asked) if sum(self.asked) else 1.0
+        if strain > 1:
+            self.let_in = max(min(self.let_in, 0.95 * fulfilled), self.let_in * max(0.85, 1 - 0.15 * (strain - 1)))
+        elif strain < 0.8:
+            self.let_in = min(1.0, self.let_in * 1.06)
         work = [a * w for a, w in zip(self.asked, self.work, strict=True)]
         shed = (1 - self.let_in) * (sum(work) or 1.0)
         for k in sorted(range(len(work)), key=lambda k: self.worth[k]):
