--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -1,9 +1,9 @@
 """The decisions of a director: which hosts the proxies' tables name, with what weight, and what is let in.
 
-How it is called: one `Director` an instance, made with the orders it acts through, the terms of the service, its
-own source of chance and the clock. Each method without an underscore is one thing that can happen; it acts at
-once through `Orders`. The interface (`Orders`, `ServiceTerms`, `Listing`) is in `ironfall/interface.py`. Times are
-whole tenths of a millisecond. Sources of each rule are in `docs/design.md`.
+How it is called: one `Director` an instance, made with the orders it acts through, the terms of the service,
+its own source of chance and the clock. Each method with no underscore is one thing that can happen; it acts
+at once through `Orders`. The interface (`Orders`, `ServiceTerms`, `Listing`) is in `ironfall/interface.py`.
+Times are whole tenths of a millisecond. Where each rule comes from is in `docs/design.md`.
 """
 
 import math
@@ -175,7 +175,15 @@
     # What is heard
 
     def heard(
-        self, now: int, zone: int, host: bytes, tries: int, failed: int, cost: int, covers: int, gauge: dict[str, float]
+        self,
+        now: int,
+        zone: int,
+        host: bytes,
+        tries: int,
+        failed: int,
+        cost: int,
+        covers: int,
+        gauge: dict[str, float],
     ) -> None:
         it = self.hosts.get(host)
         if it is None or zone >= self.zones:
@@ -305,6 +313,8 @@
             if 0 < near < total:
                 away = (1 - stay) / stay * near / (total - near)
             for host in hosts:
+                if host.out and host.ready:
+                    continue
                 weight = strength[host.id] * (1.0 if host.zone == zone else away)
                 old = host.lines[zone]
                 if weight == old or (old and weight and 0.85 < weight / old < 1.18):
@@ -316,8 +326,8 @@
                 self.orders.set_line(zone, host.id, weight)
 
     def _ration(self, now: int) -> None:
-        """A second try after any failure costs the time it gives up at: it pays where hosts fail fast, and only
-        feeds a jam where they are slow."""
+        # A second try after any failure costs the time it gives up at: it pays where hosts fail fast and only
+        # feeds a jam where they are slow.
         inside = [h for h in self.hosts.values() if h.ready and not h.out]
         mass = sum(h.recent_mass for h in inside)
         slow = sum(h.recent * h.recent_mass for h in inside) / mass if mass else 0.0
@@ -334,7 +344,8 @@
         # Reports are late, so a cut goes on after it has helped: never shut below what was just fulfilled.
         fulfilled = self.done / sum(self.asked) if sum(self.asked) else 1.0
         if strain > 1:
-            self.let_in = max(min(self.let_in, 0.95 * fulfilled), self.let_in * max(0.85, 1 - 0.15 * (strain - 1)))
+            cut = self.let_in * max(0.85, 1 - 0.15 * (strain - 1))
+            self.let_in = max(min(self.let_in, 0.95 * fulfilled), cut)
         elif strain < 0.8:
             self.let_in = min(1.0, self.let_in * 1.06)
         work = [a * w for a, w in zip(self.asked, self.work, strict=True)]
