--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -75,7 +75,7 @@
         self.moments: deque[int] = deque()
         self.room = 1 + 2 * terms.crossing_price
         # How far the lean goes: staying home is worth the crossing saved, spreading is worth the evenness.
-        self.lean = terms.crossing_price / (terms.crossing_price + 0.03)
+        self.lean = terms.crossing_price / (terms.crossing_price + 0.008)
         self.worth = [c.earnings / c.expected_time for c in terms.classes]
         self.work = [float(c.expected_time) for c in terms.classes]
         self.tries = [self._tries(terms, k) for k in range(len(terms.classes))]
