Withdraw a host whose usual answers stay away, and ignore old tries after a return

Should also catch hosts that fail every try and links that drop everything; hurts where traffic to a host falls off by itself, for one retry wait.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -41,6 +41,9 @@
     latency_mass: float = 0.0
     recent: float = 0.0
     recent_mass: float = 0.0
+    flow: float = 0.0  # good answers a second, smoothed
+    goods: float = 0.0  # since the last solve
+    answered: int = 0  # the last report with a good answer
     tries: list[float] = field(default_factory=list)  # by proxy zone, fading
     fails: list[float] = field(default_factory=list)
     lines: list[float] = field(default_factory=list)  # as last sent, by table
@@ -88,7 +91,7 @@
         self.let_in = 1.0
         self.good = self.done = 0.0
         self.known = False  # a list newer than the one kept over the start
-        self.started = now
+        self.started = self.reported = now
         self.ticks = 0
         orders.wake(TICK, 0)
         if self.asks:
@@ -188,10 +191,16 @@
         it = self.hosts.get(host)
         if it is None or zone >= self.zones:
             return
-        it.tries[zone] += tries
-        it.fails[zone] += failed
         good = tries - failed
         self.good += good
+        self.reported = now
+        # Reports on what was tried before it left speak of the trouble that it left for.
+        if now - it.eased > 2 * self.report_every:
+            it.tries[zone] += tries
+            it.fails[zone] += failed
+        if good > 0:
+            it.answered = now
+            it.goods += good
         if good > 0 and cost > 0:
             keep = math.exp(-covers / SMOOTH)
             it.latency = (it.latency * it.latency_mass * keep + cost * good) / (it.latency_mass * keep + good)
@@ -239,7 +248,10 @@
         for host in inside:
             mine, bad = sum(host.tries), sum(host.fails)
             rest = (fails - bad + 1) / (tries - mine + 4)
-            if mine >= 6 and bad > mine / 2 and bad / mine > 2 * rest and lost + host.share < 0.4 * capacity:
+            failing = mine >= 6 and bad > mine / 2 and bad / mine > 2 * rest
+            # A host that takes exchanges and answers none fails no try until the proxies give up, seconds later.
+            silent = host.flow * (self.reported - host.answered) / SECOND > 9 and host.answered
+            if (failing or silent) and lost + host.share < 0.4 * capacity:
                 if not self._may(now, 0.8):
                     break
                 lost += host.share
@@ -257,6 +269,7 @@
 
     def _return(self, now: int, host: Host) -> None:
         host.eased = now
+        host.flow, host.answered = 0.0, 0
         self._lay(now, [host])
         if host.out:
             host.out = False
@@ -277,6 +290,9 @@
             for p in self.proxies.values():
                 p.rate += 0.1 * (p.came * SECOND / max(SECOND, self.report_every) - p.rate)
                 p.came = 0.0
+        for host in self.hosts.values():
+            host.flow += 0.2 * (host.goods - host.flow)
+            host.goods = 0.0
         seen = [h for h in self.hosts.values() if h.ready and h.latency_mass > 20]
         if not seen:
             return
