--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -78,7 +78,8 @@
         self.moments: deque[int] = deque()
         self.room = 1 + 2 * terms.crossing_price
         # How far the lean goes: staying home is worth the crossing saved, spreading is worth the evenness.
-        self.lean = terms.crossing_price / (terms.crossing_price + 0.008)
+        self.leaning = terms.crossing_price / (terms.crossing_price + 0.008)
+        self.lean = [self.leaning] * terms.zones
         self.worth = [c.earnings / c.expected_time for c in terms.classes]
         self.work = [float(c.expected_time) for c in terms.classes]
         self.tries = [self._tries(terms, k) for k in range(len(terms.classes))]
@@ -290,6 +291,12 @@
             for p in self.proxies.values():
                 p.rate += 0.1 * (p.came * SECOND / max(SECOND, self.report_every) - p.rate)
                 p.came = 0.0
+        # Home gives way while it answers more slowly than the rest: sharing its load beats refusing it.
+        for zone in range(self.zones):
+            near, far = self._slow(zone, True), self._slow(zone, False)
+            if near and far:
+                step = 0.8 if near > max(1.3 * far, 0.35 * self.expected) else 1.1
+                self.lean[zone] = min(self.leaning, max(0.05, self.lean[zone] * step))
         for host in self.hosts.values():
             host.flow += 0.2 * (host.goods - host.flow)
             host.goods = 0.0
@@ -304,6 +311,12 @@
             if abs(want - 1) > 0.2:
                 host.share *= min(1.1, max(0.9, 1 + (want - 1) / 5))
 
+    def _slow(self, zone: int, near: bool) -> float:
+        """How slowly the hosts in a zone, or all others, have answered lately."""
+        there = [h for h in self.hosts.values() if h.ready and not h.out and (h.zone == zone) == near]
+        mass = sum(h.recent_mass for h in there)
+        return sum(h.recent * h.recent_mass for h in there) / mass if mass > 10 else 0.0
+
     def _strength(self, now: int, host: Host) -> float:
         if not host.ready:
             return 0.0
@@ -324,7 +337,7 @@
             asked = sum(p.rate for p in self.proxies.values() if p.zone == zone)
             want = (asked / demand) or 1.0 / self.zones
             even = near / total
-            stay = even + self.lean * (min(0.95, self.room * even / want) - even)
+            stay = even + self.lean[zone] * (min(0.95, self.room * even / want) - even)
             away = 1.0
             if 0 < near < total:
                 away = (1 - stay) / stay * near / (total - near)
