--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -87,7 +87,7 @@
         self.way = [1] * len(terms.classes)
         self.came = [0.0] * len(terms.classes)
         self.asked = [0.0] * len(terms.classes)
-        self.expected = min(c.expected_time for c in terms.classes)
+        self.expected = sum(self.work) / len(self.work)  # of the mix that comes, as it is heard
         self.admits = terms.admits
         self.let_in = 1.0
         self.good = self.done = 0.0
@@ -368,6 +368,8 @@
         for k in range(len(self.came)):
             self.asked[k] += 0.3 * (self.came[k] - self.asked[k])
             self.came[k] = 0.0
+        if sum(self.asked) > 1:
+            self.expected = sum(a * w for a, w in zip(self.asked, self.work, strict=True)) / sum(self.asked)
         self.done += 0.3 * (self.good - self.done)
         self.good = 0.0
         # Reports are late, so a cut goes on after it has helped: never shut below what was just fulfilled.
