Brake a host that is slow for its share

Should also catch neighbours, pauses and half-failed disks; hurts where reports are late and all brake in turn.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -41,6 +41,7 @@
     latency_mass: float = 0.0
     recent: float = 0.0
     recent_mass: float = 0.0
+    brake: float = 1.0  # how much of its share it is given while it is slow for its share
     flow: float = 0.0  # good answers a second, smoothed
     goods: float = 0.0  # since the last solve
     answered: int = 0  # the last report with a good answer
@@ -297,6 +298,13 @@
             if near and far:
                 step = 0.8 if near > max(1.3 * far, 0.35 * self.expected) else 1.1
                 self.lean[zone] = min(self.leaning, max(0.05, self.lean[zone] * step))
+        # Thirty seconds of smoothing are too long for a host that slows down or a jam that builds up now.
+        marks = sorted(h.recent * h.share for h in self.hosts.values() if h.ready and h.recent_mass > 3)
+        for host in self.hosts.values():
+            part = 1.0
+            if marks and host.recent_mass > 3:
+                part = min(1.0, max(0.2, 1.6 * marks[len(marks) // 4] / (host.recent * host.share)))
+            host.brake += 0.4 * (part - host.brake)
         for host in self.hosts.values():
             host.flow += 0.2 * (host.goods - host.flow)
             host.goods = 0.0
@@ -325,7 +333,7 @@
             part = self.cold_share + (1 - self.cold_share) * max(0, now - host.started) / self.cold_time
         if now - host.eased < RAMP:
             part = min(part, QUARTER + (1 - QUARTER) * (now - host.eased) / RAMP)
-        return host.share * part
+        return host.share * host.brake * part
 
     def _lay(self, now: int, hosts: list[Host]) -> None:
         strength = {h.id: self._strength(now, h) for h in self.hosts.values()}
