--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -42,6 +42,7 @@
     recent: float = 0.0
     recent_mass: float = 0.0
     brake: float = 1.0  # how much of its share it is given while it is slow for its share
+    queued: float = 0.0  # how long what waits there now will wait, by its own gauge
     flow: float = 0.0  # good answers a second, smoothed
     goods: float = 0.0  # since the last solve
     answered: int = 0  # the last report with a good answer
@@ -200,6 +201,7 @@
         if now - it.eased > 2 * self.report_every:
             it.tries[zone] += tries
             it.fails[zone] += failed
+        self._gauge(it, gauge)
         if good > 0:
             it.answered = now
             it.goods += good
@@ -211,6 +213,11 @@
             it.recent = (it.recent * it.recent_mass * keep + cost * good) / (it.recent_mass * keep + good)
             it.recent_mass = it.recent_mass * keep + good
 
+    def _gauge(self, host: Host, gauge: dict[str, float]) -> None:
+        # What waits now is heard of seconds before its late answers are.
+        if "q" in gauge:
+            host.queued = SECOND * gauge["q"] / max(2.0, host.flow)
+
     def arrived(self, now: int, proxy: int, kind: int, came: int, failed: int, covers: int) -> None:
         it = self.proxies.get(proxy)
         if it and kind < len(self.came):
@@ -232,6 +239,7 @@
         self.ticks += 1
         for host in self.hosts.values():
             host.recent_mass *= self.fade
+            host.queued *= self.fade
         self.orders.wake(TICK, 0)
         for number, proxy in self.proxies.items():
             if not proxy.bound and (self.known or now - proxy.joined >= self.hold):
@@ -299,11 +307,12 @@
                 step = 0.8 if near > max(1.3 * far, 0.35 * self.expected) else 1.1
                 self.lean[zone] = min(self.leaning, max(0.05, self.lean[zone] * step))
         # Thirty seconds of smoothing are too long for a host that slows down or a jam that builds up now.
-        marks = sorted(h.recent * h.share for h in self.hosts.values() if h.ready and h.recent_mass > 3)
+        marks = sorted((h.recent + h.queued) * h.share for h in self.hosts.values() if h.ready and h.recent_mass > 3)
         for host in self.hosts.values():
             part = 1.0
             if marks and host.recent_mass > 3:
-                part = min(1.0, max(0.2, 1.6 * marks[len(marks) // 4] / (host.recent * host.share)))
+                late = (host.recent + host.queued) * host.share
+                part = min(1.0, max(0.2, 1.6 * marks[len(marks) // 4] / late))
             host.brake += 0.4 * (part - host.brake)
         for host in self.hosts.values():
             host.flow += 0.2 * (host.goods - host.flow)
