--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -80,7 +80,7 @@
         self.moments: deque[int] = deque()
         self.room = 1 + 2 * terms.crossing_price
         # How far the lean goes: staying home is worth the crossing saved, spreading is worth the evenness.
-        self.leaning = terms.crossing_price / (terms.crossing_price + 0.008)
+        self.leaning = terms.crossing_price**2 / (terms.crossing_price**2 + 0.03**2)
         self.lean = [self.leaning] * terms.zones
         self.worth = [c.earnings / c.expected_time for c in terms.classes]
         self.work = [float(c.expected_time) for c in terms.classes]
@@ -307,7 +307,8 @@
                 step = 0.8 if near > max(1.3 * far, 0.35 * self.expected) else 1.1
                 self.lean[zone] = min(self.leaning, max(0.05, self.lean[zone] * step))
         # Thirty seconds of smoothing are too long for a host that slows down or a jam that builds up now.
-        marks = sorted((h.recent + h.queued) * h.share for h in self.hosts.values() if h.ready and h.recent_mass > 3)
+        known = [h for h in self.hosts.values() if h.ready and h.recent_mass > 3]
+        marks = sorted((h.recent + h.queued) * h.share for h in known)
         for host in self.hosts.values():
             part = 1.0
             if marks and host.recent_mass > 3:
