--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -149,8 +149,10 @@
             host.ready, host.started, host.wait = True, entry.started, FIRST_WAIT
             host.tries, host.fails = [0.0] * self.zones, [0.0] * self.zones
             host.latency_mass = host.recent_mass = 0.0
-            self._lay(now, [host])
-            self._return(now, host)
+            if host.out:
+                host.retry_at = now  # with the next tick: a message of its own for each would use them up
+            else:
+                self._return(now, host)
 
     def _shut(self, now: int, host: Host) -> None:
         if host.ready:
@@ -262,7 +264,7 @@
             # A host that takes exchanges and answers none fails no try until the proxies give up, seconds later.
             silent = host.flow * (self.reported - host.answered) / SECOND > 9 and host.answered
             if (failing or silent) and lost + host.share < 0.4 * capacity:
-                if not self._may(now, 0.8):
+                if not self._may(now, 0.9):
                     break
                 lost += host.share
                 host.out = True
@@ -273,7 +275,7 @@
         for host in self.hosts.values():
             host.tries = [t * self.fade for t in host.tries]
             host.fails = [f * self.fade for f in host.fails]
-            if host.ready and host.out and now >= host.retry_at and self._may(now, 0.6):
+            if host.ready and host.out and now >= host.retry_at and self._may(now, 0.75):
                 host.tries, host.fails = [0.0] * self.zones, [0.0] * self.zones
                 self._return(now, host)
 
@@ -290,7 +292,7 @@
         """Evidence never empties the tables: with nothing left, all ready hosts come back."""
         if not any(h.ready and not h.out for h in self.hosts.values()):
             for host in self.hosts.values():
-                if host.ready:
+                if host.ready and host.out:
                     self._return(now, host)
 
     # Weights
@@ -366,7 +368,7 @@
                 old = host.lines[zone]
                 if weight == old or (old and weight and 0.85 < weight / old < 1.18):
                     continue
-                if old and not self._may(now, 0.5):
+                if old and not self._may(now, 0.7):
                     continue
                 self._pay(now)
                 host.lines[zone] = weight
@@ -404,7 +406,7 @@
             shed = max(0.0, shed - (1 - level) * work[k])
             way = self.tries[k] if again else 1
             moved = abs(level - self.level[k]) > 0.04 or (level == 1 != self.level[k])
-            if (way != self.way[k] or (moved and self.admits)) and self._may(now, 0.5):
+            if (way != self.way[k] or (moved and self.admits)) and self._may(now, 0.8):
                 self.way[k], self.level[k] = way, level
                 self._pay(now)
                 self.orders.admit(EVERYONE, 1 << k, level, way)
