--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -384,7 +384,7 @@
         failing = fails / tries if tries else 0.0
         again = 0.03 < failing < 0.3 and slow < 0.4 * self.expected
         # Shut by how far the fleet is over what it answers in time, let out again more slowly than shut.
-        strain = max(slow / (0.5 * self.expected), failing / 0.25)
+        strain = max(slow / (0.35 * self.expected), failing / 0.25)
         for k in range(len(self.came)):
             self.asked[k] += 0.3 * (self.came[k] - self.asked[k])
             self.came[k] = 0.0
