--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -42,6 +42,7 @@
     recent: float = 0.0
     recent_mass: float = 0.0
     brake: float = 1.0  # how much of its share it is given while it is slow for its share
+    gauged: int = -LONGEST_WAIT
     queued: float = 0.0  # how long what waits there now will wait, by its own gauge
     flow: float = 0.0  # good answers a second, smoothed
     goods: float = 0.0  # since the last solve
@@ -70,7 +71,10 @@
         self.cold_time, self.cold_share = terms.cold_time, terms.cold_share
         self.hold = max(0, (min(terms.bare_time, terms.drain_grace) - terms.slowest_message) // 2)
         self.asks = terms.ask_for_list
-        self.probes = terms.may_probe
+        self.holds = "rif" in terms.gauges  # a gauge of all it has in hand, not of what waits alone
+        self.probes = terms.may_probe and (self.holds or "q" in terms.gauges)
+        self.probe_price = terms.probe_price
+        self.probed_at = now
         self.fade = math.exp(-TICK / (2 * max(terms.report_every, SECOND)))
         self.report_every = terms.report_every
         self.fade_recent = terms.report_every * 2
@@ -203,7 +207,7 @@
         if now - it.eased > 2 * self.report_every:
             it.tries[zone] += tries
             it.fails[zone] += failed
-        self._gauge(it, gauge)
+        self._gauge(now, it, gauge)
         if good > 0:
             it.answered = now
             it.goods += good
@@ -215,10 +219,11 @@
             it.recent = (it.recent * it.recent_mass * keep + cost * good) / (it.recent_mass * keep + good)
             it.recent_mass = it.recent_mass * keep + good
 
-    def _gauge(self, host: Host, gauge: dict[str, float]) -> None:
+    def _gauge(self, now: int, host: Host, gauge: dict[str, float]) -> None:
         # What waits now is heard of seconds before its late answers are.
-        if "q" in gauge:
-            host.queued = SECOND * gauge["q"] / max(2.0, host.flow)
+        if "rif" in gauge or "q" in gauge:
+            held = gauge["rif"] if "rif" in gauge else gauge["q"]
+            host.queued, host.gauged = SECOND * held / max(2.0, host.flow), now
 
     def arrived(self, now: int, proxy: int, kind: int, came: int, failed: int, covers: int) -> None:
         it = self.proxies.get(proxy)
@@ -226,8 +231,12 @@
             it.came += came
             self.came[kind] += came
 
-    def probed(self, now: int, host: bytes, answered: bool, cost: int, gauge: dict[str, float]) -> None:
-        pass
+    def probed(
+        self, now: int, host: bytes, answered: bool, cost: int, gauge: dict[str, float]
+    ) -> None:
+        it = self.hosts.get(host)
+        if it and answered:
+            self._gauge(now, it, gauge)
 
     def applied(self, now: int, proxy: int, mark: int, cost: int) -> None:
         pass
@@ -241,17 +250,26 @@
         self.ticks += 1
         for host in self.hosts.values():
             host.recent_mass *= self.fade
-            host.queued *= self.fade
         self.orders.wake(TICK, 0)
         for number, proxy in self.proxies.items():
             if not proxy.bound and (self.known or now - proxy.joined >= self.hold):
                 self._bind(now, number)
+        self._probe(now)
         self._judge(now)
         if self.ticks % 2 == 0:
             self._learn(now)
             self._lay(now, list(self.hosts.values()))
             self._ration(now)
 
+    def _probe(self, now: int) -> None:
+        # As often as costs a five-hundredth of what is earned, and no more than the gauges change.
+        ready = [h for h in self.hosts.values() if h.ready]
+        every = SECOND * max(1.0, len(ready) * self.probe_price / 0.002 / (sum(self.asked) or 100.0))
+        if self.probes and now - self.probed_at >= every:
+            self.probed_at = now
+            for host in ready:
+                self.orders.probe(host.id)
+
     def _judge(self, now: int) -> None:
         inside = [h for h in self.hosts.values() if h.ready and not h.out]
         tries, fails = sum(sum(h.tries) for h in inside), sum(sum(h.fails) for h in inside)
@@ -310,12 +328,14 @@
                 self.lean[zone] = min(self.leaning, max(0.05, self.lean[zone] * step))
         # Thirty seconds of smoothing are too long for a host that slows down or a jam that builds up now.
         known = [h for h in self.hosts.values() if h.ready and h.recent_mass > 3]
-        marks = sorted((h.recent + h.queued) * h.share for h in known)
+        base = sorted(h.recent * h.share for h in known)
+        usual = base[len(base) // 4] if base else 0.0
+        late = {h.id: self._late(now, h, usual) * h.share for h in known}
+        marks = sorted(late.values())
         for host in self.hosts.values():
             part = 1.0
-            if marks and host.recent_mass > 3:
-                late = (host.recent + host.queued) * host.share
-                part = min(1.0, max(0.2, 1.6 * marks[len(marks) // 4] / late))
+            if host.id in late:
+                part = min(1.0, max(0.2, 1.6 * marks[len(marks) // 4] / late[host.id]))
             host.brake += 0.4 * (part - host.brake)
         for host in self.hosts.values():
             host.flow += 0.2 * (host.goods - host.flow)
@@ -331,6 +351,12 @@
             if abs(want - 1) > 0.2:
                 host.share *= min(1.1, max(0.9, 1 + (want - 1) / 5))
 
+    def _late(self, now: int, host: Host, usual: float) -> float:
+        """How long an exchange sent there now may take: by its gauge while fresh, else by late reports."""
+        if now - host.gauged > 3 * SECOND:
+            return host.recent
+        return max(1.0, host.queued + (0.0 if self.holds else usual / host.share))
+
     def _slow(self, zone: int, near: bool) -> float:
         """How slowly the hosts in a zone, or all others, have answered lately."""
         there = [h for h in self.hosts.values() if h.ready and not h.out and (h.zone == zone) == near]
@@ -384,7 +410,7 @@
         failing = fails / tries if tries else 0.0
         again = 0.03 < failing < 0.3 and slow < 0.4 * self.expected
         # Shut by how far the fleet is over what it answers in time, let out again more slowly than shut.
-        strain = max(slow / (0.35 * self.expected), failing / 0.25)
+        strain = max(slow / (0.5 * self.expected), failing / 0.25)
         for k in range(len(self.came)):
             self.asked[k] += 0.3 * (self.came[k] - self.asked[k])
             self.came[k] = 0.0
