--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -96,6 +96,7 @@
         self.expected = sum(self.work) / len(self.work)  # of the mix that comes, as it is heard
         self.admits = terms.admits
         self.let_in = 1.0
+        self.usual = 0.0  # the lateness of a host in good order, times its share
         self.good = self.done = 0.0
         self.known = False  # a list newer than the one kept over the start
         self.started = self.reported = now
@@ -250,6 +251,8 @@
         self.ticks += 1
         for host in self.hosts.values():
             host.recent_mass *= self.fade
+            if not self.probes:
+                host.queued *= self.fade
         self.orders.wake(TICK, 0)
         for number, proxy in self.proxies.items():
             if not proxy.bound and (self.known or now - proxy.joined >= self.hold):
@@ -329,8 +332,8 @@
         # Thirty seconds of smoothing are too long for a host that slows down or a jam that builds up now.
         known = [h for h in self.hosts.values() if h.ready and h.recent_mass > 3]
         base = sorted(h.recent * h.share for h in known)
-        usual = base[len(base) // 4] if base else 0.0
-        late = {h.id: self._late(now, h, usual) * h.share for h in known}
+        self.usual = base[len(base) // 4] if base else 0.0
+        late = {h.id: self._late(now, h, self.usual) * h.share for h in known}
         marks = sorted(late.values())
         for host in self.hosts.values():
             part = 1.0
@@ -353,6 +356,8 @@
 
     def _late(self, now: int, host: Host, usual: float) -> float:
         """How long an exchange sent there now may take: by its gauge while fresh, else by late reports."""
+        if not self.probes:
+            return host.recent + host.queued
         if now - host.gauged > 3 * SECOND:
             return host.recent
         return max(1.0, host.queued + (0.0 if self.holds else usual / host.share))
@@ -404,8 +409,8 @@
         # A second try after any failure costs the time it gives up at: it pays where hosts fail fast and only
         # feeds a jam where they are slow.
         inside = [h for h in self.hosts.values() if h.ready and not h.out]
-        mass = sum(h.recent_mass for h in inside)
-        slow = sum(h.recent * h.recent_mass for h in inside) / mass if mass else 0.0
+        mass = sum(h.flow for h in inside)
+        slow = sum(self._late(now, h, self.usual) * h.flow for h in inside) / mass if mass else 0.0
         tries, fails = sum(sum(h.tries) for h in inside), sum(sum(h.fails) for h in inside)
         failing = fails / tries if tries else 0.0
         again = 0.03 < failing < 0.3 and slow < 0.4 * self.expected
