--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -96,7 +96,6 @@
         self.expected = sum(self.work) / len(self.work)  # of the mix that comes, as it is heard
         self.admits = terms.admits
         self.let_in = 1.0
-        self.usual = 0.0  # the lateness of a host in good order, times its share
         self.good = self.done = 0.0
         self.known = False  # a list newer than the one kept over the start
         self.started = self.reported = now
@@ -332,8 +331,8 @@
         # Thirty seconds of smoothing are too long for a host that slows down or a jam that builds up now.
         known = [h for h in self.hosts.values() if h.ready and h.recent_mass > 3]
         base = sorted(h.recent * h.share for h in known)
-        self.usual = base[len(base) // 4] if base else 0.0
-        late = {h.id: self._late(now, h, self.usual) * h.share for h in known}
+        usual = base[len(base) // 4] if base else 0.0
+        late = {h.id: self._late(now, h, usual) * h.share for h in known}
         marks = sorted(late.values())
         for host in self.hosts.values():
             part = 1.0
@@ -409,8 +408,8 @@
         # A second try after any failure costs the time it gives up at: it pays where hosts fail fast and only
         # feeds a jam where they are slow.
         inside = [h for h in self.hosts.values() if h.ready and not h.out]
-        mass = sum(h.flow for h in inside)
-        slow = sum(self._late(now, h, self.usual) * h.flow for h in inside) / mass if mass else 0.0
+        mass = sum(h.recent_mass for h in inside)
+        slow = sum(h.recent * h.recent_mass for h in inside) / mass if mass else 0.0
         tries, fails = sum(sum(h.tries) for h in inside), sum(sum(h.fails) for h in inside)
         failing = fails / tries if tries else 0.0
         again = 0.03 < failing < 0.3 and slow < 0.4 * self.expected
