--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -96,7 +96,7 @@
         self.expected = sum(self.work) / len(self.work)  # of the mix that comes, as it is heard
         self.admits = terms.admits
         self.let_in = 1.0
-        self.good = self.done = 0.0
+        self.good = self.done = self.best = 0.0
         self.known = False  # a list newer than the one kept over the start
         self.started = self.reported = now
         self.ticks = 0
@@ -422,11 +422,14 @@
             self.expected = sum(a * w for a, w in zip(self.asked, self.work, strict=True)) / sum(self.asked)
         self.done += 0.3 * (self.good - self.done)
         self.good = 0.0
-        # Reports are late, so a cut goes on after it has helped: never shut below what was just fulfilled.
-        fulfilled = self.done / sum(self.asked) if sum(self.asked) else 1.0
+        # Reports are late, so a cut goes on after it has helped and lowers what is fulfilled as well: never shut
+        # far below what these hosts have fulfilled for their strength not long ago.
+        strength = sum(self._strength(now, h) for h in inside) or 1.0
+        self.best = max(0.98 * self.best, self.done / strength)
+        able = 0.85 * self.best * strength / (sum(self.asked) or 1.0)
         if strain > 1:
             cut = self.let_in * max(0.85, 1 - 0.15 * (strain - 1))
-            self.let_in = max(min(self.let_in, 0.95 * fulfilled), cut)
+            self.let_in = max(min(self.let_in, able), cut)
         elif strain < 0.8:
             self.let_in = min(1.0, self.let_in * 1.06)
         work = [a * w for a, w in zip(self.asked, self.work, strict=True)]
