--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -424,14 +424,14 @@
         self.good = 0.0
         # Reports are late, so a cut goes on after it has helped and lowers what is fulfilled as well: never shut
         # far below what these hosts have fulfilled for their strength not long ago.
-        strength = sum(self._strength(now, h) for h in inside) or 1.0
+        strength = sum(h.share for h in inside) or 1.0
         self.best = max(0.98 * self.best, self.done / strength)
         able = 0.85 * self.best * strength / (sum(self.asked) or 1.0)
         if strain > 1:
             cut = self.let_in * max(0.85, 1 - 0.15 * (strain - 1))
             self.let_in = max(min(self.let_in, able), cut)
         elif strain < 0.8:
-            self.let_in = min(1.0, self.let_in * 1.06)
+            self.let_in = min(1.0, self.let_in * (1.2 - 0.2 * strain))
         work = [a * w for a, w in zip(self.asked, self.work, strict=True)]
         shed = (1 - self.let_in) * (sum(work) or 1.0)
         for k in sorted(range(len(work)), key=lambda k: self.worth[k]):
