--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -237,6 +237,9 @@
         it = self.hosts.get(host)
         if it and answered:
             self._gauge(now, it, gauge)
+        elif it:
+            # A jam or a hang swallows probes too: the last gauge before it must not stand for it.
+            it.queued, it.gauged = max(it.queued, self.expected), now
 
     def applied(self, now: int, proxy: int, mark: int, cost: int) -> None:
         pass
