--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -280,15 +280,13 @@
         tries, fails = sum(sum(h.tries) for h in inside), sum(sum(h.fails) for h in inside)
         capacity = sum(h.share for h in self.hosts.values() if h.ready)
         lost = sum(h.share for h in self.hosts.values() if h.ready and h.out)
-        # Under strain most hosts look bad in turn, and each withdrawal jams the rest: take out what is surest only.
-        most = 0.4 if fails < 0.2 * tries else 0.2
         for host in inside:
             mine, bad = sum(host.tries), sum(host.fails)
             rest = (fails - bad + 1) / (tries - mine + 4)
             failing = mine >= 6 and bad > mine / 2 and bad / mine > 2 * rest
-            # A host that takes exchanges and answers none fails no try until the proxies give up, seconds later.
+            # A host that takes exchanges and answers none fails no try until proxies give up, seconds later.
             silent = host.flow * (self.reported - host.answered) / SECOND > 9 and host.answered
-            if (failing or silent) and lost + host.share < most * capacity:
+            if (failing or silent) and lost + host.share < 0.4 * capacity:
                 if not self._may(now, 0.9):
                     break
                 lost += host.share
