--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -82,7 +82,7 @@
         self.limit, self.span = terms.message_limit, terms.message_span
         self.backlog, self.backlog_at = 0.0, now
         self.moments: deque[int] = deque()
-        self.room = 1 + 2 * terms.crossing_price
+        self.room, self.strain = 4 * terms.crossing_price, 0.0
         # How far the lean goes: staying home is worth the crossing saved, spreading is worth the evenness.
         self.leaning = terms.crossing_price**2 / (terms.crossing_price**2 + 0.03**2)
         self.lean = [self.leaning] * terms.zones
@@ -384,13 +384,14 @@
         strength = {h.id: self._strength(now, h) for h in self.hosts.values()}
         inside = [h for h in self.hosts.values() if h.ready and not h.out]
         total = sum(strength[h.id] for h in inside) or 1.0
+        room = 1 + self.room * max(0.0, 1 - self.strain)  # a strained fleet has none to stay home in
         demand = sum(p.rate for p in self.proxies.values()) or 1.0
         for zone in range(self.zones):
             near = sum(strength[h.id] for h in inside if h.zone == zone)
             asked = sum(p.rate for p in self.proxies.values() if p.zone == zone)
             want = (asked / demand) or 1.0 / self.zones
             even = near / total
-            stay = even + self.lean[zone] * (min(0.95, self.room * even / want) - even)
+            stay = even + self.lean[zone] * (min(0.95, room * even / want) - even)
             away = 1.0
             if 0 < near < total:
                 away = (1 - stay) / stay * near / (total - near)
@@ -417,7 +418,7 @@
         failing = fails / tries if tries else 0.0
         again = 0.03 < failing < 0.3 and slow < 0.4 * self.expected
         # Shut by how far the fleet is over what it answers in time, let out again more slowly than shut.
-        strain = max(slow / (0.5 * self.expected), failing / 0.25)
+        self.strain = strain = max(slow / (0.5 * self.expected), failing / 0.25)
         for k in range(len(self.came)):
             self.asked[k] += 0.3 * (self.came[k] - self.asked[k])
             self.came[k] = 0.0
