--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -23,7 +23,7 @@
 EVERYONE = 65535  # the wire's and the interface's table for all joined proxies
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Host:
     """All that is known of one host."""
 
@@ -125,6 +125,7 @@
                 self._shut(now, host)
         self.known = self.known or fresh
         self._amnesty(now)
+        self._lay(now, not any(p.bound for p in self.proxies.values()))
 
     def list_changed(self, now: int, entries: Iterable[Listing]) -> None:
         for entry in entries:
@@ -147,7 +148,6 @@
             host.lines = [0.0] * self.zones
             host.share = entry.weight if entry.weight > 0 else 1.0
             host.started = entry.started
-            self._lay(now, [host])
         elif not host.ready or entry.started > host.started:
             # A restarted process is cold: it comes back by steps from what it can surely carry.
             host.ready, host.started, host.wait = True, entry.started, FIRST_WAIT
@@ -263,7 +263,7 @@
         self._judge(now)
         if self.ticks % 2 == 0:
             self._learn(now)
-            self._lay(now, list(self.hosts.values()))
+            self._lay(now, False)
             self._ration(now)
 
     def _probe(self, now: int) -> None:
@@ -303,11 +303,11 @@
                 self._return(now, host)
 
     def _return(self, now: int, host: Host) -> None:
+        was, host.out = host.out, False
         host.eased = now
         host.flow, host.answered = 0.0, 0
-        self._lay(now, [host])
-        if host.out:
-            host.out = False
+        self._lay(now, True)
+        if was:
             self._pay(now)
             self.orders.withdraw(host.id, False)
 
@@ -380,7 +380,7 @@
             part = min(part, QUARTER + (1 - QUARTER) * (now - host.eased) / RAMP)
         return host.share * host.brake * part
 
-    def _lay(self, now: int, hosts: list[Host]) -> None:
+    def _lay(self, now: int, must: bool) -> None:
         strength = {h.id: self._strength(now, h) for h in self.hosts.values()}
         inside = [h for h in self.hosts.values() if h.ready and not h.out]
         total = sum(strength[h.id] for h in inside) or 1.0
@@ -395,18 +395,26 @@
             away = 1.0
             if 0 < near < total:
                 away = (1 - stay) / stay * near / (total - near)
-            for host in hosts:
-                if host.out and host.ready:
-                    continue
-                weight = strength[host.id] * (1.0 if host.zone == zone else away)
-                old = host.lines[zone]
-                if weight == old or (old and weight and 0.85 < weight / old < 1.18):
-                    continue
-                if old and not self._may(now, 0.7):
-                    continue
-                self._pay(now)
-                host.lines[zone] = weight
-                self.orders.set_line(zone, host.id, weight)
+            lines = {h: strength[h.id] * (1.0 if h.zone == zone else away) for h in inside}
+            scale = len(lines) / (sum(lines.values()) or 1.0)
+            held = sum(h.lines[zone] for h in inside) or 1.0
+            off = sum(abs(w * scale / len(lines) - h.lines[zone] / held) for h, w in lines.items()) / 2
+            # Small moves wait, so that messages are left when a large one is needed at once.
+            if not (must or (off > 0.15 and self._may(now, 0.85)) or (off > 0.04 and self._may(now, 0.45))):
+                continue
+            for host, weight in lines.items():
+                self._set(now, zone, host, weight * scale)
+            for host in self.hosts.values():
+                if not host.ready:
+                    self._set(now, zone, host, 0.0)
+
+    def _set(self, now: int, table: int, host: Host, weight: float) -> None:
+        old = host.lines[table]
+        if weight == old or (old and weight and 0.9 < weight / old < 1.11):
+            return
+        self._pay(now)
+        host.lines[table] = weight
+        self.orders.set_line(table, host.id, weight)
 
     def _ration(self, now: int) -> None:
         # A second try after any failure costs the time it gives up at: it pays where hosts fail fast and only
@@ -426,7 +434,7 @@
             self.expected = sum(a * w for a, w in zip(self.asked, self.work, strict=True)) / sum(self.asked)
         self.done += 0.3 * (self.good - self.done)
         self.good = 0.0
-        # Reports are late, so a cut goes on after it has helped and lowers what is fulfilled as well: never shut
+        # Reports are late, so a cut goes on after it has helped, and it lowers what is fulfilled: never shut
         # far below what these hosts have fulfilled for their strength not long ago.
         strength = sum(h.share for h in inside) or 1.0
         self.best = max(0.98 * self.best, self.done / strength)
