--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -82,10 +82,9 @@
         self.limit, self.span = terms.message_limit, terms.message_span
         self.backlog, self.backlog_at = 0.0, now
         self.moments: deque[int] = deque()
-        self.room, self.strain = 4 * terms.crossing_price, 0.0
+        self.room, self.strain = 2.5 * terms.crossing_price, 0.0
         # How far the lean goes: staying home is worth the crossing saved, spreading is worth the evenness.
-        self.leaning = terms.crossing_price**2 / (terms.crossing_price**2 + 0.03**2)
-        self.lean = [self.leaning] * terms.zones
+        self.lean = terms.crossing_price**2 / (terms.crossing_price**2 + 0.03**2)
         self.worth = [c.earnings / c.expected_time for c in terms.classes]
         self.work = [float(c.expected_time) for c in terms.classes]
         self.tries = [self._tries(terms, k) for k in range(len(terms.classes))]
@@ -325,12 +324,6 @@
             for p in self.proxies.values():
                 p.rate += 0.1 * (p.came * SECOND / max(SECOND, self.report_every) - p.rate)
                 p.came = 0.0
-        # Home gives way while it answers more slowly than the rest: sharing its load beats refusing it.
-        for zone in range(self.zones):
-            near, far = self._slow(zone, True), self._slow(zone, False)
-            if near and far:
-                step = 0.8 if near > max(1.3 * far, 0.35 * self.expected) else 1.1
-                self.lean[zone] = min(self.leaning, max(0.05, self.lean[zone] * step))
         # Thirty seconds of smoothing are too long for a host that slows down or a jam that builds up now.
         known = [h for h in self.hosts.values() if h.ready and h.recent_mass > 3]
         base = sorted(h.recent * h.share for h in known)
@@ -364,12 +357,6 @@
             return host.recent
         return max(1.0, host.queued + (0.0 if self.holds else usual / host.share))
 
-    def _slow(self, zone: int, near: bool) -> float:
-        """How slowly the hosts in a zone, or all others, have answered lately."""
-        there = [h for h in self.hosts.values() if h.ready and not h.out and (h.zone == zone) == near]
-        mass = sum(h.recent_mass for h in there)
-        return sum(h.recent * h.recent_mass for h in there) / mass if mass > 10 else 0.0
-
     def _strength(self, now: int, host: Host) -> float:
         if not host.ready:
             return 0.0
@@ -391,7 +378,7 @@
             asked = sum(p.rate for p in self.proxies.values() if p.zone == zone)
             want = (asked / demand) or 1.0 / self.zones
             even = near / total
-            stay = even + self.lean[zone] * (min(0.95, room * even / want) - even)
+            stay = even + self.lean * (min(0.95, room * even / want) - even)
             away = 1.0
             if 0 < near < total:
                 away = (1 - stay) / stay * near / (total - near)
