--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -285,7 +285,9 @@
             failing = mine >= 6 and bad > mine / 2 and bad / mine > 2 * rest
             # A host that takes exchanges and answers none fails no try until proxies give up, seconds later.
             silent = host.flow * (self.reported - host.answered) / SECOND > 9 and host.answered
-            if (failing or silent) and lost + host.share < 0.4 * capacity:
+            # A lost zone may be half of the fleet: take out that much only while the rest is in good order.
+            most = 0.6 if silent and rest < 0.25 else 0.4
+            if (failing or silent) and lost + host.share < most * capacity:
                 if not self._may(now, 0.9):
                     break
                 lost += host.share
