--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -98,6 +98,7 @@
         self.good = self.done = self.best = 0.0
         self.known = False  # a list newer than the one kept over the start
         self.started = self.reported = now
+        self.failing = 0.0
         self.ticks = 0
         orders.wake(TICK, 0)
         if self.asks:
@@ -152,7 +153,8 @@
             host.ready, host.started, host.wait = True, entry.started, FIRST_WAIT
             host.tries, host.fails = [0.0] * self.zones, [0.0] * self.zones
             host.latency_mass = host.recent_mass = 0.0
-            if host.out:
+            if host.out or self.failing > 0.3:
+                self._withdraw(now, host)
                 host.retry_at = now  # with the next tick: a message of its own for each would use them up
             else:
                 self._return(now, host)
@@ -160,16 +162,19 @@
     def _shut(self, now: int, host: Host) -> None:
         if host.ready:
             host.ready = False
-            if not host.out:
-                host.out = True
-                self._pay(now)
-                self.orders.withdraw(host.id, True)
+            self._withdraw(now, host)
+
+    def _withdraw(self, now: int, host: Host) -> None:
+        if not host.out:
+            host.out = True
+            self._pay(now)
+            self.orders.withdraw(host.id, True)
 
     # The proxies
 
     def joined(self, now: int, proxy: int, zone: int, rate: float, fresh: bool) -> None:
         self.proxies[proxy] = Proxy(zone, now, rate)
-        if fresh or self.known or now - self.started > 10 * SECOND:
+        if self.known:
             self._bind(now, proxy)
 
     def left(self, now: int, proxy: int) -> None:
@@ -291,14 +296,17 @@
                 if not self._may(now, 0.9):
                     break
                 lost += host.share
-                host.out = True
+                self._withdraw(now, host)
                 host.retry_at = now + host.wait
                 host.wait = min(2 * host.wait, LONGEST_WAIT)
-                self._pay(now)
-                self.orders.withdraw(host.id, True)
         for host in self.hosts.values():
             host.tries = [t * self.fade for t in host.tries]
             host.fails = [f * self.fade for f in host.fails]
+            # Proxies avoid hosts that fail them, and where most do, all they send falls on the one just back:
+            # a cold host waits until tries succeed again, or it is warm; so it does before the first reports.
+            cold = host.started and now - host.started < self.cold_time
+            if cold and (self.failing > 0.3 or self.reported == self.started):
+                continue
             if host.ready and host.out and now >= host.retry_at and self._may(now, 0.75):
                 host.tries, host.fails = [0.0] * self.zones, [0.0] * self.zones
                 self._return(now, host)
@@ -364,7 +372,11 @@
             return 0.0
         part = 1.0
         if host.started and now - host.started < self.cold_time:
-            part = self.cold_share + (1 - self.cold_share) * max(0, now - host.started) / self.cold_time
+            warm = max(0, now - host.started) / self.cold_time
+            # Half of what it can surely carry: after a loss all others are over their limit, and its share
+            # grows by as much. Clients that come again and proxies not yet told add to it.
+            part = self.cold_share + (1 - self.cold_share) * warm
+            part *= (0.5 + 0.5 * warm) / max(1.0, self.strain)
         if now - host.eased < RAMP:
             part = min(part, QUARTER + (1 - QUARTER) * (now - host.eased) / RAMP)
         return host.share * host.brake * part
@@ -412,7 +424,7 @@
         mass = sum(h.recent_mass for h in inside)
         slow = sum(h.recent * h.recent_mass for h in inside) / mass if mass else 0.0
         tries, fails = sum(sum(h.tries) for h in inside), sum(sum(h.fails) for h in inside)
-        failing = fails / tries if tries else 0.0
+        self.failing = failing = fails / tries if tries else 0.0
         again = 0.03 < failing < 0.3 and slow < 0.4 * self.expected
         # Shut by how far the fleet is over what it answers in time, let out again more slowly than shut.
         self.strain = strain = max(slow / (0.5 * self.expected), failing / 0.25)
