--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -303,9 +303,9 @@
             host.tries = [t * self.fade for t in host.tries]
             host.fails = [f * self.fade for f in host.fails]
             # Proxies avoid hosts that fail them, and where most do, all they send falls on the one just back:
-            # a cold host waits until tries succeed again, or it is warm; so it does before the first reports.
+            # a cold host waits until tries succeed again or it is warm, and where too little was heard yet.
             cold = host.started and now - host.started < self.cold_time
-            if cold and (self.failing > 0.3 or self.reported == self.started):
+            if cold and (self.failing > 0.3 or now - self.started < 4 * self.report_every):
                 continue
             if host.ready and host.out and now >= host.retry_at and self._may(now, 0.75):
                 host.tries, host.fails = [0.0] * self.zones, [0.0] * self.zones
