--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -98,7 +98,7 @@
         self.good = self.done = self.best = 0.0
         self.known = False  # a list newer than the one kept over the start
         self.started = self.reported = now
-        self.failing = 0.0
+        self.heard_tries = self.heard_fails = 0.0  # everywhere, fading
         self.ticks = 0
         orders.wake(TICK, 0)
         if self.asks:
@@ -153,7 +153,7 @@
             host.ready, host.started, host.wait = True, entry.started, FIRST_WAIT
             host.tries, host.fails = [0.0] * self.zones, [0.0] * self.zones
             host.latency_mass = host.recent_mass = 0.0
-            if host.out or self.failing > 0.3:
+            if host.out or self._storm():
                 self._withdraw(now, host)
                 host.retry_at = now  # with the next tick: a message of its own for each would use them up
             else:
@@ -207,6 +207,8 @@
         good = tries - failed
         self.good += good
         self.reported = now
+        self.heard_tries += tries
+        self.heard_fails += failed
         # Reports on what was tried before it left speak of the trouble that it left for.
         if now - it.eased > 2 * self.report_every:
             it.tries[zone] += tries
@@ -255,6 +257,8 @@
             self.orders.watch_list()
             return
         self.ticks += 1
+        self.heard_tries *= self.fade
+        self.heard_fails *= self.fade
         for host in self.hosts.values():
             host.recent_mass *= self.fade
             if not self.probes:
@@ -305,12 +309,15 @@
             # Proxies avoid hosts that fail them, and where most do, all they send falls on the one just back:
             # a cold host waits until tries succeed again or it is warm, and where too little was heard yet.
             cold = host.started and now - host.started < self.cold_time
-            if cold and (self.failing > 0.3 or now - self.started < 4 * self.report_every):
+            if cold and (self._storm() or now - self.started < 4 * self.report_every):
                 continue
             if host.ready and host.out and now >= host.retry_at and self._may(now, 0.75):
                 host.tries, host.fails = [0.0] * self.zones, [0.0] * self.zones
                 self._return(now, host)
 
+    def _storm(self) -> bool:
+        return self.heard_fails > 0.25 * self.heard_tries
+
     def _return(self, now: int, host: Host) -> None:
         was, host.out = host.out, False
         host.eased = now
@@ -424,7 +431,7 @@
         mass = sum(h.recent_mass for h in inside)
         slow = sum(h.recent * h.recent_mass for h in inside) / mass if mass else 0.0
         tries, fails = sum(sum(h.tries) for h in inside), sum(sum(h.fails) for h in inside)
-        self.failing = failing = fails / tries if tries else 0.0
+        failing = fails / tries if tries else 0.0
         again = 0.03 < failing < 0.3 and slow < 0.4 * self.expected
         # Shut by how far the fleet is over what it answers in time, let out again more slowly than shut.
         self.strain = strain = max(slow / (0.5 * self.expected), failing / 0.25)
