Take a host that fails one zone only from that zone's table

Cause: a cut makes a zone's hosts look dead from the other side only; withdrawn for all, they were missing from the tables of proxies that came back. Should also catch a bad link or firewall; hurts by a message where a zone dies with its proxies.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -49,6 +49,7 @@
     answered: int = 0  # the last report with a good answer
     tries: list[float] = field(default_factory=list)  # by proxy zone, fading
     fails: list[float] = field(default_factory=list)
+    barred: list[int] = field(default_factory=list)  # by proxy zone, until when its lines are taken out
     lines: list[float] = field(default_factory=list)  # as last sent, by table
 
 
@@ -145,7 +146,7 @@
         if host is None:
             host = self.hosts[entry.host] = Host(entry.host, entry.zone, len(self.hosts))
             host.tries, host.fails = [0.0] * self.zones, [0.0] * self.zones
-            host.lines = [0.0] * self.zones
+            host.lines, host.barred = [0.0] * self.zones, [0] * self.zones
             host.share = entry.weight if entry.weight > 0 else 1.0
             host.started = entry.started
         elif not host.ready or entry.started > host.started:
@@ -269,6 +270,7 @@
                 self._bind(now, number)
         self._probe(now)
         self._judge(now)
+        self._amnesty(now)
         if self.ticks % 2 == 0:
             self._learn(now)
             self._lay(now, False)
@@ -287,7 +289,8 @@
         inside = [h for h in self.hosts.values() if h.ready and not h.out]
         tries, fails = sum(sum(h.tries) for h in inside), sum(sum(h.fails) for h in inside)
         capacity = sum(h.share for h in self.hosts.values() if h.ready)
-        lost = sum(h.share for h in self.hosts.values() if h.ready and h.out)
+        lost = sum(h.share for h in self.hosts.values() if h.ready and (h.out or max(h.barred) > now))
+        heard = sorted({p.zone for p in self.proxies.values()})
         for host in inside:
             mine, bad = sum(host.tries), sum(host.fails)
             rest = (fails - bad + 1) / (tries - mine + 4)
@@ -299,10 +302,22 @@
             if (failing or silent) and lost + host.share < most * capacity:
                 if not self._may(now, 0.9):
                     break
-                lost += host.share
-                self._withdraw(now, host)
                 host.retry_at = now + host.wait
                 host.wait = min(2 * host.wait, LONGEST_WAIT)
+                # Where its own zone is not heard of or some zone is served well, the way there has failed and
+                # not the host: its lines go where it fails, and proxies that come back find it in place.
+                pairs = zip(host.tries, host.fails, strict=True)
+                served = [not silent and t >= 3 and f < t / 3 for t, f in pairs]
+                if host.zone in heard and not any(served):
+                    lost += host.share
+                    self._withdraw(now, host)
+                else:
+                    for zone in heard:
+                        if not served[zone]:
+                            host.barred[zone] = host.retry_at
+                    host.tries, host.fails = [0.0] * self.zones, [0.0] * self.zones
+                    host.flow, host.answered = 0.0, 0
+                    self._lay(now, True)
         for host in self.hosts.values():
             host.tries = [t * self.fade for t in host.tries]
             host.fails = [f * self.fade for f in host.fails]
@@ -404,6 +419,8 @@
             if 0 < near < total:
                 away = (1 - stay) / stay * near / (total - near)
             lines = {h: strength[h.id] * (1.0 if h.zone == zone else away) for h in inside}
+            if any(h.barred[zone] <= now for h in inside):
+                lines = {h: 0.0 if h.barred[zone] > now else w for h, w in lines.items()}
             scale = len(lines) / (sum(lines.values()) or 1.0)
             held = sum(h.lines[zone] for h in inside) or 1.0
             off = sum(abs(w * scale / len(lines) - h.lines[zone] / held) for h, w in lines.items()) / 2
