--- a/ironfall/drill/wire.py
+++ b/ironfall/drill/wire.py
@@ -37,7 +37,6 @@
     prices = top.get("Prices", {})
     if info.get("KeyRanges", 0):
         raise NotImplementedError("this site has slices (KeyRanges > 0), which ironfall does not serve yet")
-    home = info.get("HomeOnly") or []
     classes = tuple(
         ExchangeClass(
             expected_time=tenths(c["Aim"]),
@@ -46,24 +45,17 @@
             repeatable=REPEATABLE.get(c.get("Effect", ""), "never"),
             key_scope=c.get("KeyScope", ""),
             key_life=tenths(c.get("KeyTtl", 0)),
-            home_only=bool(k < len(home) and home[k]),
-        )
-        for k, c in enumerate(top["RequestClasses"])
+            )
+        for c in top["RequestClasses"]
     )
     report = top.get("Report", {})
     return ServiceTerms(
         zones=len(top.get("Dcs", [])) or 1,
-        zone=top.get("Zone", 0),
         classes=classes,
-        proxies=info.get("ProxyCount", 1),
-        listed_weights=top.get("Weights", "silent") != "silent",
         ask_for_list=top.get("MembershipMode") == "on_request",
-        ask_within=tenths(rules.get("AskWithin", 10000)),
         drain_grace=tenths(rules.get("StopSendingWithin", 1000)),
         cold_time=tenths(rules.get("Cold", 0)),
         cold_share=rules.get("StartCapacity", 1.0),
-        cold_multiple=rules.get("FallMultiple", 1.0),
-        cold_window=tenths(rules.get("OverloadFor", 0)),
         bare_time=tenths(info.get("Bare", 1000)),
         lines_per_second=info.get("LinesPerS", 1000.0),
         queue_limit=info.get("QueueCap", 1000.0),
@@ -72,13 +64,11 @@
         message_span=tenths(info.get("UpdateWindow", 10000)),
         slowest_message=tenths(info.get("TransitMax", 1000)),
         report_every=tenths(info.get("ReportEvery", 1000)),
-        next_try_wait=info.get("PerTry", 1.0),
         admits_by_rate=info.get("ThrottleBy") == "per_second",
         admits=info.get("ThrottleBy", "silent") != "silent",
         may_probe=bool(limits.get("Probing")),
         probe_price=prices.get("Probe", 0.0),
         crossing_price=prices.get("CrossZone", 0.0),
-        worst_class_weight=top.get("Goal", {}).get("WorstClass", 0.0),
         gauges=tuple(report.get("Columns") or ()),
     )
 
@@ -129,9 +119,6 @@
     def probe(self, host: bytes) -> None:
         self._add("6s", 17, host)
 
-    def mark(self, number: int) -> None:
-        self._add("QB", 18, number, 0)
-
     def watch_list(self) -> None:
         self._add("B", 16, 1)
 
@@ -199,23 +186,23 @@
             gauge = dict(zip(self.columns[instance], values[:n], strict=False))
             director.heard(now, zone, host, tries, failed, tenths(cost), tenths(covers), gauge)
         elif code == 24:
-            came, failed, proxy, kind, covers = INTAKE.unpack_from(body, at + 3)
-            director.arrived(now, proxy, kind, came, failed, tenths(covers))
+            came, _failed, proxy, kind, _covers = INTAKE.unpack_from(body, at + 3)
+            director.arrived(proxy, kind, came)
         elif code == 25:
             director.woken(now, int.from_bytes(body[at + 3 : at + 7], "big"))
         elif code == 16:
-            host, result, cost, n, *values = PROBED.unpack_from(body, at + 3)
+            host, result, _cost, n, *values = PROBED.unpack_from(body, at + 3)
             gauge = dict(zip(self.columns[instance], values[:n], strict=False))
-            director.probed(now, host, result == 0, tenths(cost), gauge)
+            director.probed(now, host, result == 0, gauge)
         elif code == 20:
-            proxy, zone, rate, fresh = ATTACHED.unpack_from(body, at + 3)
-            director.joined(now, proxy, zone, rate, bool(fresh))
+            proxy, zone, rate, _fresh = ATTACHED.unpack_from(body, at + 3)
+            director.joined(now, proxy, zone, rate)
         elif code == 30:
-            director.left(now, int.from_bytes(body[at + 3 : at + 5], "big"))
+            director.left(int.from_bytes(body[at + 3 : at + 5], "big"))
         elif code == 21:
             scope, _version, page = struct.unpack_from(">BQB", body, at + 3)
             if scope == FAILED:
-                director.list_failed(now)
+                director.list_failed()
             else:
                 if page not in self.pages:
                     raise Malformed(f"page {page} was never given")
@@ -225,9 +212,6 @@
                     director.list_whole(now, self._listing(page), scope == FULL)
                 else:
                     raise Malformed(f"unknown scope {scope}")
-        elif code == 28:
-            proxy, mark, cost = struct.unpack_from(">HQd", body, at + 3)
-            director.applied(now, proxy, mark, tenths(cost))
         elif code == 23:
             del self.directors[instance]
 
--- a/ironfall/interface.py
+++ b/ironfall/interface.py
@@ -26,7 +26,6 @@
     repeatable: str  # "always", "keyed" or "never"
     key_scope: str
     key_life: int
-    home_only: bool
 
 
 @dataclass(frozen=True)
@@ -34,17 +33,11 @@
     """What the service's owner and its operators agreed on, as read at start."""
 
     zones: int
-    zone: int
     classes: tuple[ExchangeClass, ...]
-    proxies: int
-    listed_weights: bool
     ask_for_list: bool
-    ask_within: int
     drain_grace: int
     cold_time: int
     cold_share: float
-    cold_multiple: float
-    cold_window: int
     bare_time: int
     lines_per_second: float
     queue_limit: float
@@ -53,13 +46,11 @@
     message_span: int
     slowest_message: int
     report_every: int
-    next_try_wait: float
     admits_by_rate: bool
     admits: bool
     may_probe: bool
     probe_price: float
     crossing_price: float
-    worst_class_weight: float
     gauges: tuple[str, ...]
 
 
@@ -69,7 +60,6 @@
     def withdraw(self, host: bytes, out: bool) -> None: ...
     def admit(self, table: int, classes: int, level: float, tries: int) -> None: ...
     def probe(self, host: bytes) -> None: ...
-    def mark(self, number: int) -> None: ...
     def watch_list(self) -> None: ...
     def wake(self, delay: int, token: int) -> None: ...
     def note(self, text: str) -> None: ...
--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -23,13 +23,28 @@
 EVERYONE = 65535  # the wire's and the interface's table for all joined proxies
 
 
+Gauge = dict[str, float]
+
+
+@dataclass(slots=True)
+class Mean:
+    """A mean over what was heard, the older the less."""
+
+    value: float = 0.0
+    mass: float = 0.0
+
+    def add(self, value: float, mass: float, age: float) -> None:
+        kept = self.mass * math.exp(-age)
+        self.value = (self.value * kept + value * mass) / (kept + mass)
+        self.mass = kept + mass
+
+
 @dataclass(slots=True, eq=False)
 class Host:
     """All that is known of one host."""
 
     id: bytes
     zone: int
-    order: int  # keeps decisions in the order of first listing, whatever the ids hash to
     ready: bool = True
     started: int = 0
     share: float = 1.0  # the learnt weight
@@ -37,10 +52,8 @@
     retry_at: int = 0
     wait: int = FIRST_WAIT
     eased: int = -10 * LONGEST_WAIT  # since when it comes back in steps
-    latency: float = 0.0
-    latency_mass: float = 0.0
-    recent: float = 0.0
-    recent_mass: float = 0.0
+    latency: Mean = field(default_factory=Mean)
+    recent: Mean = field(default_factory=Mean)
     brake: float = 1.0  # how much of its share it is given while it is slow for its share
     gauged: int = -LONGEST_WAIT
     queued: float = 0.0  # how long what waits there now will wait, by its own gauge
@@ -66,19 +79,16 @@
     def __init__(self, orders: Orders, terms: ServiceTerms, chance: random.Random, now: int) -> None:
         self.orders, self.chance = orders, chance
         self.zones = terms.zones
-        self.home = terms.zone
         self.hosts: dict[bytes, Host] = {}
         self.proxies: dict[int, Proxy] = {}
         self.cold_time, self.cold_share = terms.cold_time, terms.cold_share
         self.hold = max(0, (min(terms.bare_time, terms.drain_grace) - terms.slowest_message) // 2)
-        self.asks = terms.ask_for_list
         self.holds = "rif" in terms.gauges  # a gauge of all it has in hand, not of what waits alone
         self.probes = terms.may_probe and (self.holds or "q" in terms.gauges)
         self.probe_price = terms.probe_price
         self.probed_at = now
         self.fade = math.exp(-TICK / (2 * max(terms.report_every, SECOND)))
         self.report_every = terms.report_every
-        self.fade_recent = terms.report_every * 2
         self.pace, self.queue, self.head = terms.lines_per_second, terms.queue_limit, terms.message_head
         self.limit, self.span = terms.message_limit, terms.message_span
         self.backlog, self.backlog_at = 0.0, now
@@ -94,7 +104,7 @@
         self.came = [0.0] * len(terms.classes)
         self.asked = [0.0] * len(terms.classes)
         self.expected = sum(self.work) / len(self.work)  # of the mix that comes, as it is heard
-        self.admits = terms.admits
+        self.admits, self.by_rate = terms.admits, terms.admits_by_rate
         self.let_in = 1.0
         self.good = self.done = self.best = 0.0
         self.known = False  # a list newer than the one kept over the start
@@ -102,7 +112,7 @@
         self.heard_tries = self.heard_fails = 0.0  # everywhere, fading
         self.ticks = 0
         orders.wake(TICK, 0)
-        if self.asks:
+        if terms.ask_for_list:
             orders.watch_list()
 
     @staticmethod
@@ -134,7 +144,7 @@
         self.known = True
         self._amnesty(now)
 
-    def list_failed(self, now: int) -> None:
+    def list_failed(self) -> None:
         self.orders.wake(SECOND + self.chance.randrange(SECOND), 1)
 
     def _list(self, now: int, entry: Listing) -> None:
@@ -144,7 +154,7 @@
                 self._shut(now, host)
             return
         if host is None:
-            host = self.hosts[entry.host] = Host(entry.host, entry.zone, len(self.hosts))
+            host = self.hosts[entry.host] = Host(entry.host, entry.zone)
             host.tries, host.fails = [0.0] * self.zones, [0.0] * self.zones
             host.lines, host.barred = [0.0] * self.zones, [0] * self.zones
             host.share = entry.weight if entry.weight > 0 else 1.0
@@ -153,7 +163,7 @@
             # A restarted process is cold: it comes back by steps from what it can surely carry.
             host.ready, host.started, host.wait = True, entry.started, FIRST_WAIT
             host.tries, host.fails = [0.0] * self.zones, [0.0] * self.zones
-            host.latency_mass = host.recent_mass = 0.0
+            host.latency.mass = host.recent.mass = 0.0
             if host.out or self._storm():
                 self._withdraw(now, host)
                 host.retry_at = now  # with the next tick: a message of its own for each would use them up
@@ -163,7 +173,8 @@
     def _shut(self, now: int, host: Host) -> None:
         if host.ready:
             host.ready = False
-            self._withdraw(now, host)
+            if self._may(now, 0.95):  # else with the next tick, still within the grace
+                self._withdraw(now, host)
 
     def _withdraw(self, now: int, host: Host) -> None:
         if not host.out:
@@ -173,17 +184,17 @@
 
     # The proxies
 
-    def joined(self, now: int, proxy: int, zone: int, rate: float, fresh: bool) -> None:
+    def joined(self, now: int, proxy: int, zone: int, rate: float) -> None:
         self.proxies[proxy] = Proxy(zone, now, rate)
         if self.known:
             self._bind(now, proxy)
 
-    def left(self, now: int, proxy: int) -> None:
+    def left(self, proxy: int) -> None:
         self.proxies.pop(proxy, None)
 
     def _bind(self, now: int, proxy: int) -> None:
         it = self.proxies[proxy]
-        if not any(h.ready and not h.out for h in self.hosts.values()):
+        if not self._inside():
             return
         it.bound = True
         self.backlog += self.head + 1 + 2 * len(self.hosts)
@@ -192,16 +203,9 @@
     # What is heard
 
     def heard(
-        self,
-        now: int,
-        zone: int,
-        host: bytes,
-        tries: int,
-        failed: int,
-        cost: int,
-        covers: int,
-        gauge: dict[str, float],
+        self, now: int, zone: int, host: bytes, tries: int, failed: int, cost: int, covers: int, gauge: Gauge
     ) -> None:
+        """What a zone's proxies met at a host; it may be gone by now, or never have been listed here."""
         it = self.hosts.get(host)
         if it is None or zone >= self.zones:
             return
@@ -215,32 +219,25 @@
             it.tries[zone] += tries
             it.fails[zone] += failed
         self._gauge(now, it, gauge)
-        if good > 0:
+        if good > 0 and cost > 0:
             it.answered = now
             it.goods += good
-        if good > 0 and cost > 0:
-            keep = math.exp(-covers / SMOOTH)
-            it.latency = (it.latency * it.latency_mass * keep + cost * good) / (it.latency_mass * keep + good)
-            it.latency_mass = it.latency_mass * keep + good
-            keep = math.exp(-covers / self.fade_recent)
-            it.recent = (it.recent * it.recent_mass * keep + cost * good) / (it.recent_mass * keep + good)
-            it.recent_mass = it.recent_mass * keep + good
-
-    def _gauge(self, now: int, host: Host, gauge: dict[str, float]) -> None:
+            it.latency.add(cost, good, covers / SMOOTH)
+            it.recent.add(cost, good, covers / (2 * self.report_every))
+
+    def _gauge(self, now: int, host: Host, gauge: Gauge) -> None:
         # What waits now is heard of seconds before its late answers are.
         if "rif" in gauge or "q" in gauge:
             held = gauge["rif"] if "rif" in gauge else gauge["q"]
             host.queued, host.gauged = SECOND * held / max(2.0, host.flow), now
 
-    def arrived(self, now: int, proxy: int, kind: int, came: int, failed: int, covers: int) -> None:
+    def arrived(self, proxy: int, kind: int, came: int) -> None:
         it = self.proxies.get(proxy)
         if it and kind < len(self.came):
             it.came += came
             self.came[kind] += came
 
-    def probed(
-        self, now: int, host: bytes, answered: bool, cost: int, gauge: dict[str, float]
-    ) -> None:
+    def probed(self, now: int, host: bytes, answered: bool, gauge: Gauge) -> None:
         it = self.hosts.get(host)
         if it and answered:
             self._gauge(now, it, gauge)
@@ -248,9 +245,6 @@
             # A jam or a hang swallows probes too: the last gauge before it must not stand for it.
             it.queued, it.gauged = max(it.queued, self.expected), now
 
-    def applied(self, now: int, proxy: int, mark: int, cost: int) -> None:
-        pass
-
     # What comes due
 
     def woken(self, now: int, token: int) -> None:
@@ -261,7 +255,7 @@
         self.heard_tries *= self.fade
         self.heard_fails *= self.fade
         for host in self.hosts.values():
-            host.recent_mass *= self.fade
+            host.recent.mass *= self.fade
             if not self.probes:
                 host.queued *= self.fade
         self.orders.wake(TICK, 0)
@@ -286,7 +280,7 @@
                 self.orders.probe(host.id)
 
     def _judge(self, now: int) -> None:
-        inside = [h for h in self.hosts.values() if h.ready and not h.out]
+        inside = self._inside()
         tries, fails = sum(sum(h.tries) for h in inside), sum(sum(h.fails) for h in inside)
         capacity = sum(h.share for h in self.hosts.values() if h.ready)
         lost = sum(h.share for h in self.hosts.values() if h.ready and (h.out or max(h.barred) > now))
@@ -321,6 +315,8 @@
         for host in self.hosts.values():
             host.tries = [t * self.fade for t in host.tries]
             host.fails = [f * self.fade for f in host.fails]
+            if not host.ready:
+                self._withdraw(now, host)
             # Proxies avoid hosts that fail them, and where most do, all they send falls on the one just back:
             # a cold host waits until tries succeed again or it is warm, and where too little was heard yet.
             cold = host.started and now - host.started < self.cold_time
@@ -330,6 +326,9 @@
                 host.tries, host.fails = [0.0] * self.zones, [0.0] * self.zones
                 self._return(now, host)
 
+    def _inside(self) -> list[Host]:
+        return [h for h in self.hosts.values() if h.ready and not h.out]
+
     def _storm(self) -> bool:
         return self.heard_fails > 0.25 * self.heard_tries
 
@@ -344,7 +343,7 @@
 
     def _amnesty(self, now: int) -> None:
         """Evidence never empties the tables: with nothing left, all ready hosts come back."""
-        if not any(h.ready and not h.out for h in self.hosts.values()):
+        if not self._inside():
             for host in self.hosts.values():
                 if host.ready and host.out:
                     self._return(now, host)
@@ -357,8 +356,8 @@
                 p.rate += 0.1 * (p.came * SECOND / max(SECOND, self.report_every) - p.rate)
                 p.came = 0.0
         # Thirty seconds of smoothing are too long for a host that slows down or a jam that builds up now.
-        known = [h for h in self.hosts.values() if h.ready and h.recent_mass > 3]
-        base = sorted(h.recent * h.share for h in known)
+        known = [h for h in self.hosts.values() if h.ready and h.recent.mass > 3]
+        base = sorted(h.recent.value * h.share for h in known)
         usual = base[len(base) // 4] if base else 0.0
         late = {h.id: self._late(now, h, usual) * h.share for h in known}
         marks = sorted(late.values())
@@ -367,26 +366,25 @@
             if host.id in late:
                 part = min(1.0, max(0.2, 1.6 * marks[len(marks) // 4] / late[host.id]))
             host.brake += 0.4 * (part - host.brake)
-        for host in self.hosts.values():
             host.flow += 0.2 * (host.goods - host.flow)
             host.goods = 0.0
-        seen = [h for h in self.hosts.values() if h.ready and h.latency_mass > 20]
+        seen = [h for h in self.hosts.values() if h.ready and h.latency.mass > 20]
         if not seen:
             return
         # The rate is taken for an equal share: taken as it comes it follows the weight, and the weight would
         # feed on itself until one host holds nearly all.
-        scale = sum(h.share for h in seen) / sum(1 / h.latency for h in seen)
+        scale = sum(h.share for h in seen) / sum(1 / h.latency.value for h in seen)
         for host in seen:
-            want = scale / host.latency / host.share
+            want = scale / host.latency.value / host.share
             if abs(want - 1) > 0.2:
                 host.share *= min(1.1, max(0.9, 1 + (want - 1) / 5))
 
     def _late(self, now: int, host: Host, usual: float) -> float:
         """How long an exchange sent there now may take: by its gauge while fresh, else by late reports."""
         if not self.probes:
-            return host.recent + host.queued
+            return host.recent.value + host.queued
         if now - host.gauged > 3 * SECOND:
-            return host.recent
+            return host.recent.value
         return max(1.0, host.queued + (0.0 if self.holds else usual / host.share))
 
     def _strength(self, now: int, host: Host) -> float:
@@ -405,7 +403,7 @@
 
     def _lay(self, now: int, must: bool) -> None:
         strength = {h.id: self._strength(now, h) for h in self.hosts.values()}
-        inside = [h for h in self.hosts.values() if h.ready and not h.out]
+        inside = self._inside()
         total = sum(strength[h.id] for h in inside) or 1.0
         room = 1 + self.room * max(0.0, 1 - self.strain)  # a strained fleet has none to stay home in
         demand = sum(p.rate for p in self.proxies.values()) or 1.0
@@ -444,9 +442,9 @@
     def _ration(self, now: int) -> None:
         # A second try after any failure costs the time it gives up at: it pays where hosts fail fast and only
         # feeds a jam where they are slow.
-        inside = [h for h in self.hosts.values() if h.ready and not h.out]
-        mass = sum(h.recent_mass for h in inside)
-        slow = sum(h.recent * h.recent_mass for h in inside) / mass if mass else 0.0
+        inside = self._inside()
+        mass = sum(h.recent.mass for h in inside)
+        slow = sum(h.recent.value * h.recent.mass for h in inside) / mass if mass else 0.0
         tries, fails = sum(sum(h.tries) for h in inside), sum(sum(h.fails) for h in inside)
         failing = fails / tries if tries else 0.0
         again = 0.03 < failing < 0.3 and slow < 0.4 * self.expected
@@ -479,7 +477,13 @@
             if (way != self.way[k] or (moved and self.admits)) and self._may(now, 0.8):
                 self.way[k], self.level[k] = way, level
                 self._pay(now)
-                self.orders.admit(EVERYONE, 1 << k, level, way)
+                share = self._rate(k, level) if self.by_rate else level
+                self.orders.admit(EVERYONE, 1 << k, share, way)
+
+    def _rate(self, k: int, level: float) -> float:
+        """Where levels are exchanges a second at each proxy: the share of what the busiest proxy is brought."""
+        rates = [p.rate for p in self.proxies.values()] or [1.0]
+        return level * self.asked[k] * max(rates) / (sum(rates) or 1.0) if level < 1 else 1e9
 
     # The channel
 
--- a/tests/play.py
+++ b/tests/play.py
@@ -2,12 +2,12 @@
 
 A scenario is lines of words; `#` starts a comment; times are seconds; `a:1` is host a in zone 1.
 
-    terms proxies=4 message_limit=20      what differs from the usual terms
+    terms message_limit=12                what differs from the usual terms
     at 0 list a:0 b:1 c:1~20              the whole list (or `change`); c started at 20 s; `c:1!` is not ready
-    at 0 join 1:0 2:1                     proxies, zones; `rejoin` if they hold older tables; `leave 1`
+    at 0 join 1:0 2:1                     proxies and their zones; also `leave 1`
     from 1 to 9 heard 0 a 8 2 300         each second: 8 tries from zone 0, 2 failed, good ones took 300 ms
     from 1 to 9 came 1 0 40               each second: proxy 1 was brought 40 exchanges of class 0
-    at 3 probe a ok 20                    a probe of a was answered in 20 ms (`lost`: it was not)
+    at 3 probe a ok 20                    a probe of a was answered, 20 wait (`lost`: it was not)
     expect withdraw a from 3 to 6         such an order within that time; `expect never ...` for none
     expect line 0 a < 0.5 at 9            the weight standing in table 0; also `level CLASS`, `tries CLASS`
     expect messages < 21                  the most moments with orders to all within any ten seconds
@@ -24,17 +24,16 @@
 from ironfall.logic import Director
 
 USUAL = ServiceTerms(
-    zones=2, zone=0, proxies=2, listed_weights=False, ask_for_list=False, ask_within=100_000,
-    drain_grace=30_000,
+    zones=2, ask_for_list=False, drain_grace=30_000,
     classes=(
-        ExchangeClass(10_000, 40_000, 1.0, "always", "all", 0, False),
-        ExchangeClass(10_000, 40_000, 3.0, "never", "all", 0, False),
-        ExchangeClass(10_000, 40_000, 2.0, "keyed", "zone", 90_000, False),
+        ExchangeClass(10_000, 40_000, 1.0, "always", "all", 0),
+        ExchangeClass(10_000, 40_000, 3.0, "never", "all", 0),
+        ExchangeClass(10_000, 40_000, 2.0, "keyed", "zone", 90_000),
     ),
-    cold_time=100_000, cold_share=0.2, cold_multiple=3.0, cold_window=20_000, bare_time=60_000,
+    cold_time=100_000, cold_share=0.2, bare_time=60_000,
     lines_per_second=1000.0, queue_limit=1000.0, message_head=6.0, message_limit=20, message_span=100_000,
-    slowest_message=5_000, report_every=10_000, next_try_wait=1.0, admits_by_rate=False, admits=True,
-    may_probe=False, probe_price=0.02, crossing_price=0.0, worst_class_weight=0.1, gauges=("busy", "q"),
+    slowest_message=5_000, report_every=10_000, admits_by_rate=False, admits=True,
+    may_probe=False, probe_price=0.02, crossing_price=0.0, gauges=("busy", "q"),
 )  # fmt: skip
 BOOT = 1_000_000  # a clock need not start at nought
 
@@ -100,9 +99,6 @@
     def probe(self, host: bytes) -> None:
         self._order("probe", host)
 
-    def mark(self, number: int) -> None:
-        self._order("mark", number)
-
     def watch_list(self) -> None:
         self._order("watch")
 
@@ -124,19 +120,19 @@
     elif what == "change":
         director.list_changed(now, map(listing, rest))
     elif what == "failed":
-        director.list_failed(now)
-    elif what in ("join", "rejoin"):
+        director.list_failed()
+    elif what == "join":
         for proxy, place in (word.split(":") for word in rest):
-            director.joined(now, int(proxy), int(place), 10.0, what == "join")
+            director.joined(now, int(proxy), int(place), 10.0)
     elif what == "leave":
-        director.left(now, int(rest[0]))
+        director.left(int(rest[0]))
     elif what == "heard":
         zone, tries, bad, cost = int(rest[0]), int(rest[2]), int(rest[3]), int(rest[4]) * 10
         director.heard(now, zone, host(rest[1]), tries, bad, cost, 10_000, {})
     elif what == "came":
-        director.arrived(now, int(rest[0]), int(rest[1]), int(rest[2]), 0, 10_000)
+        director.arrived(int(rest[0]), int(rest[1]), int(rest[2]))
     elif what == "probe":
-        director.probed(now, host(rest[0]), rest[1] == "ok", int(rest[2]) * 10, {})
+        director.probed(now, host(rest[0]), rest[1] == "ok", {"q": float(rest[2])})
     else:
         raise ValueError(f"no such thing as {what}")
 
