--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -481,7 +481,7 @@
                 self.orders.admit(EVERYONE, 1 << k, share, way)
 
     def _rate(self, k: int, level: float) -> float:
-        """Where levels are exchanges a second at each proxy: the share of what the busiest proxy is brought."""
+        """Where levels are exchanges a second at each proxy: a share of what the busiest is brought."""
         rates = [p.rate for p in self.proxies.values()] or [1.0]
         return level * self.asked[k] * max(rates) / (sum(rates) or 1.0) if level < 1 else 1e9
 
