Brake loaded hosts, do not withdraw them for their time-outs

Guards against retry bursts and overload read as failure; hurts where a host is slow for good and fails as well, which the brake bounds at a fifth.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -288,7 +288,10 @@
         for host in inside:
             mine, bad = sum(host.tries), sum(host.fails)
             rest = (fails - bad + 1) / (tries - mine + 4)
-            failing = mine >= 6 and bad > mine / 2 and bad / mine > 2 * rest
+            # A host that answers late and lets others time out is loaded: the brake lightens it, and taking it
+            # out would load the others until they fail in turn.
+            loaded = host.recent.mass > 2 and host.recent.value > 0.5 * self.expected
+            failing = mine >= 6 and bad > mine / 2 and bad / mine > 2 * rest and not loaded
             # A host that takes exchanges and answers none fails no try until proxies give up, seconds later.
             silent = host.flow * (self.reported - host.answered) / SECOND > 9 and host.answered
             # A lost zone may be half of the fleet: take out that much only while the rest is in good order.
