--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -288,8 +288,8 @@
         for host in inside:
             mine, bad = sum(host.tries), sum(host.fails)
             rest = (fails - bad + 1) / (tries - mine + 4)
-            # A host that answers late and lets others time out is loaded: the brake lightens it, and taking it
-            # out would load the others until they fail in turn.
+            # A host that answers late and lets others time out is loaded: the brake lightens it, and its loss
+            # would load the others until they fail in turn.
             loaded = host.recent.mass > 2 and host.recent.value > 0.5 * self.expected
             failing = mine >= 6 and bad > mine / 2 and bad / mine > 2 * rest and not loaded
             # A host that takes exchanges and answers none fails no try until proxies give up, seconds later.
@@ -450,7 +450,7 @@
         slow = sum(h.recent.value * h.recent.mass for h in inside) / mass if mass else 0.0
         tries, fails = sum(sum(h.tries) for h in inside), sum(sum(h.fails) for h in inside)
         failing = fails / tries if tries else 0.0
-        again = 0.03 < failing < 0.3 and slow < 0.4 * self.expected
+        again = 0.03 < failing < 0.3 and slow < 0.3 * self.expected
         # Shut by how far the fleet is over what it answers in time, let out again more slowly than shut.
         self.strain = strain = max(slow / (0.5 * self.expected), failing / 0.25)
         for k in range(len(self.came)):
