--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -106,7 +106,7 @@
         self.expected = sum(self.work) / len(self.work)  # of the mix that comes, as it is heard
         self.admits, self.by_rate = terms.admits, terms.admits_by_rate
         self.let_in = 1.0
-        self.good = self.done = self.best = 0.0
+        self.met = self.missed = self.flow = self.done = self.best = self.failing = 0.0
         self.known = False  # a list newer than the one kept over the start
         self.started = self.reported = now
         self.heard_tries = self.heard_fails = 0.0  # everywhere, fading
@@ -210,7 +210,6 @@
         if it is None or zone >= self.zones:
             return
         good = tries - failed
-        self.good += good
         self.reported = now
         self.heard_tries += tries
         self.heard_fails += failed
@@ -218,6 +217,9 @@
         if now - it.eased > 2 * self.report_every:
             it.tries[zone] += tries
             it.fails[zone] += failed
+            if not it.out:
+                self.met += tries
+                self.missed += failed
         self._gauge(now, it, gauge)
         if good > 0 and cost > 0:
             it.answered = now
@@ -448,23 +450,25 @@
         inside = self._inside()
         mass = sum(h.recent.mass for h in inside)
         slow = sum(h.recent.value * h.recent.mass for h in inside) / mass if mass else 0.0
-        tries, fails = sum(sum(h.tries) for h in inside), sum(sum(h.fails) for h in inside)
-        failing = fails / tries if tries else 0.0
-        again = 0.03 < failing < 0.3 and slow < 0.3 * self.expected
+        # Of the newest reports alone: in a mean over tries a jam, with its many, outweighs what follows it.
+        if self.met:
+            self.failing += 0.5 * (self.missed / self.met - self.failing)
+        again = 0.03 < self.failing < 0.3 and slow < 0.3 * self.expected
         # Shut by how far the fleet is over what it answers in time, let out again more slowly than shut.
-        self.strain = strain = max(slow / (0.5 * self.expected), failing / 0.25)
+        self.strain = strain = max(slow / (0.5 * self.expected), self.failing / 0.25)
         for k in range(len(self.came)):
             self.asked[k] += 0.3 * (self.came[k] - self.asked[k])
             self.came[k] = 0.0
         if sum(self.asked) > 1:
             self.expected = sum(a * w for a, w in zip(self.asked, self.work, strict=True)) / sum(self.asked)
-        self.done += 0.3 * (self.good - self.done)
-        self.good = 0.0
+        self.done += 0.3 * (self.met - self.missed - self.done)
+        self.flow += 0.3 * (self.met - self.flow)
+        self.met = self.missed = 0.0
         # Reports are late, so a cut goes on after it has helped, and it lowers what is fulfilled: never shut
         # far below what these hosts have fulfilled for their strength not long ago.
         strength = sum(h.share for h in inside) or 1.0
         self.best = max(0.98 * self.best, self.done / strength)
-        able = 0.85 * self.best * strength / (sum(self.asked) or 1.0)
+        able = 0.85 * self.best * strength / (self.flow or 1.0) * self.let_in
         if strain > 1:
             cut = self.let_in * max(0.85, 1 - 0.15 * (strain - 1))
             self.let_in = max(min(self.let_in, able), cut)
