--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -106,7 +106,7 @@
         self.expected = sum(self.work) / len(self.work)  # of the mix that comes, as it is heard
         self.admits, self.by_rate = terms.admits, terms.admits_by_rate
         self.let_in = 1.0
-        self.met = self.missed = self.flow = self.done = self.best = self.failing = 0.0
+        self.met = self.missed = self.done = self.best = self.failing = 0.0
         self.known = False  # a list newer than the one kept over the start
         self.started = self.reported = now
         self.heard_tries = self.heard_fails = 0.0  # everywhere, fading
@@ -462,13 +462,12 @@
         if sum(self.asked) > 1:
             self.expected = sum(a * w for a, w in zip(self.asked, self.work, strict=True)) / sum(self.asked)
         self.done += 0.3 * (self.met - self.missed - self.done)
-        self.flow += 0.3 * (self.met - self.flow)
         self.met = self.missed = 0.0
         # Reports are late, so a cut goes on after it has helped, and it lowers what is fulfilled: never shut
         # far below what these hosts have fulfilled for their strength not long ago.
         strength = sum(h.share for h in inside) or 1.0
         self.best = max(0.98 * self.best, self.done / strength)
-        able = 0.85 * self.best * strength / (self.flow or 1.0) * self.let_in
+        able = 0.85 * self.best * strength / (sum(self.asked) or 1.0)
         if strain > 1:
             cut = self.let_in * max(0.85, 1 - 0.15 * (strain - 1))
             self.let_in = max(min(self.let_in, able), cut)
