--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -470,7 +470,7 @@
         able = 0.85 * self.best * strength / (sum(self.asked) or 1.0)
         if strain > 1:
             cut = self.let_in * max(0.85, 1 - 0.15 * (strain - 1))
-            self.let_in = max(min(self.let_in, able), cut)
+            self.let_in = max(min(self.let_in, able), cut, FLOOR)
         elif strain < 0.8:
             self.let_in = min(1.0, self.let_in * (1.2 - 0.2 * strain))
         work = [a * w for a, w in zip(self.asked, self.work, strict=True)]
