--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -455,7 +455,7 @@
             self.failing += 0.5 * (self.missed / self.met - self.failing)
         again = 0.03 < self.failing < 0.3 and slow < 0.3 * self.expected
         # Shut by how far the fleet is over what it answers in time, let out again more slowly than shut.
-        self.strain = strain = max(slow / (0.5 * self.expected), self.failing / 0.25)
+        self.strain = strain = max(slow / (0.45 * self.expected), self.failing / 0.25)
         for k in range(len(self.came)):
             self.asked[k] += 0.3 * (self.came[k] - self.asked[k])
             self.came[k] = 0.0
@@ -471,7 +471,7 @@
         if strain > 1:
             cut = self.let_in * max(0.6, 1 - 0.15 * (strain - 1))
             self.let_in = max(min(self.let_in, able), cut, FLOOR)
-        elif strain < 0.8:
+        else:
             self.let_in = min(1.0, self.let_in * (1.2 - 0.2 * strain))
         work = [a * w for a, w in zip(self.asked, self.work, strict=True)]
         shed = (1 - self.let_in) * (sum(work) or 1.0)
