--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -58,6 +58,7 @@
     gauged: int = -LONGEST_WAIT
     queued: float = 0.0  # how long what waits there now will wait, by its own gauge
     flow: float = 0.0  # good answers a second, smoothed
+    unreached: int = 0  # probes in a row that found nothing there
     goods: float = 0.0  # since the last solve
     answered: int = 0  # the last report with a good answer
     tries: list[float] = field(default_factory=list)  # by proxy zone, fading
@@ -93,7 +94,7 @@
         self.limit, self.span = terms.message_limit, terms.message_span
         self.backlog, self.backlog_at = 0.0, now
         self.moments: deque[int] = deque()
-        self.room, self.strain = 2.5 * terms.crossing_price, 0.0
+        self.room, self.strain = 6 * terms.crossing_price, 0.0
         # How far the lean goes: staying home is worth the crossing saved, spreading is worth the evenness.
         self.lean = terms.crossing_price**2 / (terms.crossing_price**2 + 0.03**2)
         self.worth = [c.earnings / c.expected_time for c in terms.classes]
@@ -239,8 +240,10 @@
             it.came += came
             self.came[kind] += came
 
-    def probed(self, now: int, host: bytes, answered: bool, gauge: Gauge) -> None:
+    def probed(self, now: int, host: bytes, answered: bool, reached: bool, gauge: Gauge) -> None:
         it = self.hosts.get(host)
+        if it:
+            it.unreached = 0 if reached else it.unreached + 1
         if it and answered:
             self._gauge(now, it, gauge)
         elif it:
@@ -298,6 +301,8 @@
             silent = host.flow * (self.reported - host.answered) / SECOND > 9 and host.answered
             # A lost zone may be half of the fleet: take out that much only while the rest is in good order.
             most = 0.6 if silent and rest < 0.25 else 0.4
+            # Probes that find nothing there say so before the answers that stay away add up.
+            silent = silent or host.unreached > 1 or (host.unreached and host.answered < self.reported)
             if (failing or silent) and lost + host.share < most * capacity:
                 if not self._may(now, 0.9):
                     break
@@ -410,7 +415,7 @@
         strength = {h.id: self._strength(now, h) for h in self.hosts.values()}
         inside = self._inside()
         total = sum(strength[h.id] for h in inside) or 1.0
-        room = 1 + self.room * max(0.0, 1 - self.strain)  # a strained fleet has none to stay home in
+        room = 1 + self.room * max(0.0, 1 - self.strain) ** 2  # a strained fleet has none to stay home in
         demand = sum(p.rate for p in self.proxies.values()) or 1.0
         for zone in range(self.zones):
             near = sum(strength[h.id] for h in inside if h.zone == zone)
