--- a/ironfall/drill/wire.py
+++ b/ironfall/drill/wire.py
@@ -193,7 +193,7 @@
         elif code == 16:
             host, result, _cost, n, *values = PROBED.unpack_from(body, at + 3)
             gauge = dict(zip(self.columns[instance], values[:n], strict=False))
-            director.probed(now, host, result == 0, result not in (4, 5), gauge)
+            director.probed(now, host, result == 0, gauge)
         elif code == 20:
             proxy, zone, rate, _fresh = ATTACHED.unpack_from(body, at + 3)
             director.joined(now, proxy, zone, rate)
--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -58,7 +58,6 @@
     gauged: int = -LONGEST_WAIT
     queued: float = 0.0  # how long what waits there now will wait, by its own gauge
     flow: float = 0.0  # good answers a second, smoothed
-    unreached: int = 0  # probes in a row that found nothing there
     goods: float = 0.0  # since the last solve
     answered: int = 0  # the last report with a good answer
     tries: list[float] = field(default_factory=list)  # by proxy zone, fading
@@ -240,10 +239,8 @@
             it.came += came
             self.came[kind] += came
 
-    def probed(self, now: int, host: bytes, answered: bool, reached: bool, gauge: Gauge) -> None:
+    def probed(self, now: int, host: bytes, answered: bool, gauge: Gauge) -> None:
         it = self.hosts.get(host)
-        if it:
-            it.unreached = 0 if reached else it.unreached + 1
         if it and answered:
             self._gauge(now, it, gauge)
         elif it:
@@ -301,8 +298,6 @@
             silent = host.flow * (self.reported - host.answered) / SECOND > 9 and host.answered
             # A lost zone may be half of the fleet: take out that much only while the rest is in good order.
             most = 0.6 if silent and rest < 0.25 else 0.4
-            # Probes that find nothing there say so before the answers that stay away add up.
-            silent = silent or host.unreached > 1 or (host.unreached and host.answered < self.reported)
             if (failing or silent) and lost + host.share < most * capacity:
                 if not self._may(now, 0.9):
                     break
--- a/tests/play.py
+++ b/tests/play.py
@@ -7,7 +7,7 @@
     at 0 join 1:0 2:1                     proxies and their zones; also `leave 1`
     from 1 to 9 heard 0 a 8 2 300         each second: 8 tries from zone 0, 2 failed, good ones took 300 ms
     from 1 to 9 came 1 0 40               each second: proxy 1 was brought 40 exchanges of class 0
-    at 3 probe a ok 20                    a probe of a was answered, 20 wait (`late`, `lost`: not)
+    at 3 probe a ok 20                    a probe of a was answered, 20 wait (`lost`: it was not)
     expect withdraw a from 3 to 6         such an order within that time; `expect never ...` for none
     expect line 0 a < 0.5 at 9            the weight standing in table 0; also `level CLASS`, `tries CLASS`
     expect messages < 21                  the most moments with orders to all within any ten seconds
@@ -132,7 +132,7 @@
     elif what == "came":
         director.arrived(int(rest[0]), int(rest[1]), int(rest[2]))
     elif what == "probe":
-        director.probed(now, host(rest[0]), rest[1] == "ok", rest[1] != "lost", {"q": float(rest[2])})
+        director.probed(now, host(rest[0]), rest[1] == "ok", {"q": float(rest[2])})
     else:
         raise ValueError(f"no such thing as {what}")
 
