--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -467,7 +467,7 @@
         # far below what these hosts have fulfilled for their strength not long ago.
         strength = sum(h.share for h in inside) or 1.0
         self.best = max(0.98 * self.best, self.done / strength)
-        able = 0.85 * self.best * strength / (sum(self.asked) or 1.0)
+        able = (0.85 if strain < 2 else 0.7) * self.best * strength / (sum(self.asked) or 1.0)
         if strain > 1:
             cut = self.let_in * max(0.6, 1 - 0.15 * (strain - 1))
             self.let_in = max(min(self.let_in, able), cut, FLOOR)
