--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -455,6 +455,7 @@
             self.failing += 0.5 * (self.missed / self.met - self.failing)
         again = 0.03 < self.failing < 0.3 and slow < 0.3 * self.expected
         # Shut by how far the fleet is over what it answers in time, let out again more slowly than shut.
+        before = self.strain
         self.strain = strain = max(slow / (0.45 * self.expected), self.failing / 0.25)
         for k in range(len(self.came)):
             self.asked[k] += 0.3 * (self.came[k] - self.asked[k])
@@ -467,7 +468,9 @@
         # far below what these hosts have fulfilled for their strength not long ago.
         strength = sum(h.share for h in inside) or 1.0
         self.best = max(0.98 * self.best, self.done / strength)
-        able = (0.85 if strain < 2 else 0.7) * self.best * strength / (sum(self.asked) or 1.0)
+        able = 0.85 * self.best * strength / (sum(self.asked) or 1.0)
+        # A rise goes on for the seconds that reports are late: shut for what it will be by then.
+        strain += 2 * max(0.0, strain - before)
         if strain > 1:
             cut = self.let_in * max(0.6, 1 - 0.15 * (strain - 1))
             self.let_in = max(min(self.let_in, able), cut, FLOOR)
