--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -470,7 +470,8 @@
         self.best = max(0.98 * self.best, self.done / strength)
         able = 0.85 * self.best * strength / (sum(self.asked) or 1.0)
         # A rise goes on for the seconds that reports are late: shut for what it will be by then.
-        strain += 2 * max(0.0, strain - before)
+        if strain > 1:
+            strain += 2 * SECOND / max(SECOND, self.report_every) * max(0.0, strain - before)
         if strain > 1:
             cut = self.let_in * max(0.6, 1 - 0.15 * (strain - 1))
             self.let_in = max(min(self.let_in, able), cut, FLOOR)
