Let the cheapest class be shut to a twelfth, the whole to a quarter as before

Cause: with a quarter of each class let in, the dear class was cut while the cheap one was still served.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -19,7 +19,7 @@
 QUARTER, RAMP = 0.25, 8 * SECOND  # the design's return of a retried or restarted host
 FIRST_WAIT, LONGEST_WAIT = 5 * SECOND, 60 * SECOND
 SMOOTH = 30 * SECOND  # the design's smoothing of rate and latency
-FLOOR = 0.25  # no class is shut out whole: the worst-served class counts too
+CLASS_FLOOR, FLOOR = 0.08, 0.25  # no class is shut out whole: the worst-served one counts too
 EVERYONE = 65535  # the wire's and the interface's table for all joined proxies
 
 
@@ -480,7 +480,7 @@
         work = [a * w for a, w in zip(self.asked, self.work, strict=True)]
         shed = (1 - self.let_in) * (sum(work) or 1.0)
         for k in sorted(range(len(work)), key=lambda k: self.worth[k]):
-            level = max(FLOOR, 1 - shed / work[k]) if work[k] else 1.0
+            level = max(CLASS_FLOOR, 1 - shed / work[k]) if work[k] else 1.0
             shed = max(0.0, shed - (1 - level) * work[k])
             way = self.tries[k] if again else 1
             moved = abs(level - self.level[k]) > 0.04 or (level == 1 != self.level[k])
