--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -476,7 +476,9 @@
             cut = self.let_in * max(0.6, 1 - 0.15 * (strain - 1))
             self.let_in = max(min(self.let_in, able), cut, FLOOR)
         else:
-            self.let_in = min(1.0, self.let_in * (1.2 - 0.2 * strain))
+            # Quickly up to what they are known to fulfil, feeling the way beyond it.
+            step = 1.5 if self.let_in < able else 1.2
+            self.let_in = min(1.0, self.let_in * (step + (1 - step) * strain))
         work = [a * w for a, w in zip(self.asked, self.work, strict=True)]
         shed = (1 - self.let_in) * (sum(work) or 1.0)
         for k in sorted(range(len(work)), key=lambda k: self.worth[k]):
