--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -456,7 +456,7 @@
         again = 0.03 < self.failing < 0.3 and slow < 0.3 * self.expected
         # Shut by how far the fleet is over what it answers in time, let out again more slowly than shut.
         before = self.strain
-        self.strain = strain = max(slow / (0.45 * self.expected), self.failing / 0.25)
+        self.strain = strain = slow / (0.45 * self.expected)
         for k in range(len(self.came)):
             self.asked[k] += 0.3 * (self.came[k] - self.asked[k])
             self.came[k] = 0.0
