--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -295,7 +295,7 @@
             loaded = host.recent.mass > 2 and host.recent.value > 0.5 * self.expected
             failing = mine >= 6 and bad > mine / 2 and bad / mine > 2 * rest and not loaded
             # A host that takes exchanges and answers none fails no try until proxies give up, seconds later.
-            silent = host.flow * (self.reported - host.answered) / SECOND > 9 and host.answered
+            silent = host.flow * (self.reported - host.answered) / SECOND > 7 and host.answered
             # A lost zone may be half of the fleet: take out that much only while the rest is in good order.
             most = 0.6 if silent and rest < 0.25 else 0.4
             if (failing or silent) and lost + host.share < most * capacity:
