--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -325,7 +325,8 @@
             # Proxies avoid hosts that fail them, and where most do, all they send falls on the one just back:
             # a cold host waits until tries succeed again or it is warm, and where too little was heard yet.
             cold = host.started and now - host.started < self.cold_time
-            if cold and (self._storm() or now - self.started < 4 * self.report_every):
+            fresh = now - self.started < 10 * self.report_every
+            if cold and (fresh or self._storm()):
                 continue
             if host.ready and host.out and now >= host.retry_at and self._may(now, 0.75):
                 host.tries, host.fails = [0.0] * self.zones, [0.0] * self.zones
