--- a/ironfall/drill/wire.py
+++ b/ironfall/drill/wire.py
@@ -216,8 +216,8 @@
             del self.directors[instance]
 
     def _listing(self, page: int) -> Iterable[Listing]:
-        for host, zone, model, _cell, state, weight, started in self.pages[page]:
-            yield Listing(host, zone, model, state == READY, weight, tenths(started))
+        for host, zone, _model, _cell, state, weight, started in self.pages[page]:
+            yield Listing(host, zone, state == READY, weight, tenths(started))
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
--- a/ironfall/interface.py
+++ b/ironfall/interface.py
@@ -12,7 +12,6 @@
 
     host: bytes
     zone: int
-    model: int
     ready: bool
     weight: float
     started: int  # clock time of the last start, 0 for long ago
--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ironfall.interface import Listing, Orders, ServiceTerms
+from ironfall.interface import ExchangeClass, Listing, Orders, ServiceTerms
 
 SECOND = 10_000
 TICK = SECOND // 2  # health twice a second, tables once, as the design gathers them
@@ -75,6 +75,19 @@
     bound: bool = False
 
 
+@dataclass(slots=True)
+class Grade:
+    """A class of exchanges as far as it is let in."""
+
+    worth: float  # earnings per work, for which the expected time stands
+    work: float
+    tries: int  # the most ways of trying again that cannot take effect twice
+    came: float = 0.0  # since the last solve
+    asked: float = 0.0  # a second, smoothed
+    level: float = 1.0
+    way: int = 1
+
+
 class Director:
     def __init__(self, orders: Orders, terms: ServiceTerms, chance: random.Random, now: int) -> None:
         self.orders, self.chance = orders, chance
@@ -96,14 +109,8 @@
         self.room, self.strain = 6 * terms.crossing_price, 0.0
         # How far the lean goes: staying home is worth the crossing saved, spreading is worth the evenness.
         self.lean = terms.crossing_price**2 / (terms.crossing_price**2 + 0.03**2)
-        self.worth = [c.earnings / c.expected_time for c in terms.classes]
-        self.work = [float(c.expected_time) for c in terms.classes]
-        self.tries = [self._tries(terms, k) for k in range(len(terms.classes))]
-        self.level = [1.0] * len(terms.classes)
-        self.way = [1] * len(terms.classes)
-        self.came = [0.0] * len(terms.classes)
-        self.asked = [0.0] * len(terms.classes)
-        self.expected = sum(self.work) / len(self.work)  # of the mix that comes, as it is heard
+        self.grades = [self._grade(terms, c) for c in terms.classes]
+        self.expected = sum(g.work for g in self.grades) / len(self.grades)  # of the mix that comes
         self.admits, self.by_rate = terms.admits, terms.admits_by_rate
         self.let_in = 1.0
         self.met = self.missed = self.done = self.best = self.failing = 0.0
@@ -116,13 +123,11 @@
             orders.watch_list()
 
     @staticmethod
-    def _tries(terms: ServiceTerms, k: int) -> int:
-        """A second try after any failure only where it cannot take effect twice."""
-        c = terms.classes[k]
+    def _grade(terms: ServiceTerms, c: ExchangeClass) -> Grade:
+        # A second try after any failure only where it cannot take effect twice.
         everywhere = c.key_scope == "all" and c.key_life >= c.abandon_time + terms.slowest_message
-        if c.repeatable == "always" or (c.repeatable == "keyed" and everywhere):
-            return 2
-        return 1
+        again = c.repeatable == "always" or (c.repeatable == "keyed" and everywhere)
+        return Grade(c.earnings / c.expected_time, float(c.expected_time), 2 if again else 1)
 
     # The list
 
@@ -235,9 +240,9 @@
 
     def arrived(self, proxy: int, kind: int, came: int) -> None:
         it = self.proxies.get(proxy)
-        if it and kind < len(self.came):
+        if it and kind < len(self.grades):
             it.came += came
-            self.came[kind] += came
+            self.grades[kind].came += came
 
     def probed(self, now: int, host: bytes, answered: bool, gauge: Gauge) -> None:
         it = self.hosts.get(host)
@@ -275,7 +280,7 @@
     def _probe(self, now: int) -> None:
         # As often as costs a five-hundredth of what is earned, and no more than the gauges change.
         ready = [h for h in self.hosts.values() if h.ready]
-        every = SECOND * max(1.0, len(ready) * self.probe_price / 0.002 / (sum(self.asked) or 100.0))
+        every = SECOND * max(1.0, len(ready) * self.probe_price / 0.002 / (self._asked() or 100.0))
         if self.probes and now - self.probed_at >= every:
             self.probed_at = now
             for host in ready:
@@ -458,18 +463,19 @@
         # Shut by how far the fleet is over what it answers in time, let out again more slowly than shut.
         before = self.strain
         self.strain = strain = slow / (0.45 * self.expected)
-        for k in range(len(self.came)):
-            self.asked[k] += 0.3 * (self.came[k] - self.asked[k])
-            self.came[k] = 0.0
-        if sum(self.asked) > 1:
-            self.expected = sum(a * w for a, w in zip(self.asked, self.work, strict=True)) / sum(self.asked)
+        for grade in self.grades:
+            grade.asked += 0.3 * (grade.came - grade.asked)
+            grade.came = 0.0
+        asked, work = self._asked(), sum(g.asked * g.work for g in self.grades)
+        if asked > 1:
+            self.expected = work / asked
         self.done += 0.3 * (self.met - self.missed - self.done)
         self.met = self.missed = 0.0
         # Reports are late, so a cut goes on after it has helped, and it lowers what is fulfilled: never shut
         # far below what these hosts have fulfilled for their strength not long ago.
         strength = sum(h.share for h in inside) or 1.0
         self.best = max(0.98 * self.best, self.done / strength)
-        able = 0.85 * self.best * strength / (sum(self.asked) or 1.0)
+        able = 0.85 * self.best * strength / (asked or 1.0)
         # A rise goes on for the seconds that reports are late: shut for what it will be by then.
         if strain > 1:
             strain += 2 * SECOND / max(SECOND, self.report_every) * max(0.0, strain - before)
@@ -480,23 +486,25 @@
             # Quickly up to what they are known to fulfil, feeling the way beyond it.
             step = 1.5 if self.let_in < able else 1.2
             self.let_in = min(1.0, self.let_in * (step + (1 - step) * strain))
-        work = [a * w for a, w in zip(self.asked, self.work, strict=True)]
-        shed = (1 - self.let_in) * (sum(work) or 1.0)
-        for k in sorted(range(len(work)), key=lambda k: self.worth[k]):
-            level = max(CLASS_FLOOR, 1 - shed / work[k]) if work[k] else 1.0
-            shed = max(0.0, shed - (1 - level) * work[k])
-            way = self.tries[k] if again else 1
-            moved = abs(level - self.level[k]) > 0.04 or (level == 1 != self.level[k])
-            if (way != self.way[k] or (moved and self.admits)) and self._may(now, 0.8):
-                self.way[k], self.level[k] = way, level
+        shed = (1 - self.let_in) * work
+        for k, grade in sorted(enumerate(self.grades), key=lambda pair: pair[1].worth):
+            mine = grade.asked * grade.work
+            level = max(CLASS_FLOOR, 1 - shed / mine) if mine else 1.0
+            shed = max(0.0, shed - (1 - level) * mine)
+            way = grade.tries if again else 1
+            moved = abs(level - grade.level) > 0.04 or (level == 1 != grade.level)
+            if (way != grade.way or (moved and self.admits)) and self._may(now, 0.8):
+                grade.way, grade.level = way, level
                 self._pay(now)
-                share = self._rate(k, level) if self.by_rate else level
-                self.orders.admit(EVERYONE, 1 << k, share, way)
+                self.orders.admit(EVERYONE, 1 << k, self._rate(grade) if self.by_rate else level, way)
+
+    def _asked(self) -> float:
+        return sum(g.asked for g in self.grades)
 
-    def _rate(self, k: int, level: float) -> float:
+    def _rate(self, grade: Grade) -> float:
         """Where levels are exchanges a second at each proxy: a share of what the busiest is brought."""
         rates = [p.rate for p in self.proxies.values()] or [1.0]
-        return level * self.asked[k] * max(rates) / (sum(rates) or 1.0) if level < 1 else 1e9
+        return grade.level * grade.asked * max(rates) / (sum(rates) or 1.0) if grade.level < 1 else 1e9
 
     # The channel
 
--- a/tests/play.py
+++ b/tests/play.py
@@ -53,12 +53,12 @@
 def listing(word: str) -> Listing:
     """
     >>> listing("a:1~20")[1:]
-    (1, 0, True, 1.0, 1200000)
+    (1, True, 1.0, 1200000)
     """
     name, _, rest = word.partition(":")
     place, _, started = rest.rstrip("!").partition("~")
     ready, at = not word.endswith("!"), BOOT + tenths(started) if started else 0
-    return Listing(host(name), int(place), 0, ready, 1.0, at)
+    return Listing(host(name), int(place), ready, 1.0, at)
 
 
 class Recorder:
