--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -454,11 +454,8 @@
         # A second try after any failure costs the time it gives up at: it pays where hosts fail fast and only
         # feeds a jam where they are slow.
         inside = self._inside()
-        # By the host in the middle: where a part of the fleet jams beside idle hosts, spreading is the answer.
-        heard = sorted(h.recent.value for h in inside if h.recent.mass > 2)
         mass = sum(h.recent.mass for h in inside)
         slow = sum(h.recent.value * h.recent.mass for h in inside) / mass if mass else 0.0
-        slow = min(slow, 1.2 * heard[len(heard) // 2]) if heard else slow
         # Of the newest reports alone: in a mean over tries a jam, with its many, outweighs what follows it.
         if self.met:
             self.failing += 0.5 * (self.missed / self.met - self.failing)
