Take the wait beside the best answer time for strain

Now it is the wait as a part of the time left. Guards any later deployment with tight or wide times; hurts where the best was never seen.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -112,7 +112,7 @@
         self.grades = [self._grade(terms, c) for c in terms.classes]
         self.expected = sum(g.work for g in self.grades) / len(self.grades)  # of the mix that comes
         self.admits, self.by_rate = terms.admits, terms.admits_by_rate
-        self.let_in = 1.0
+        self.let_in, self.least = 1.0, self.expected / 2
         self.met = self.missed = self.best = self.failing = 0.0
         self.known = False  # a list newer than the one kept over the start
         self.started = self.reported = now
@@ -463,7 +463,9 @@
         again = 0.03 < self.failing < 0.3 and slow < 0.3 * self.expected
         # Shut by how far the fleet is over what it answers in time, let out again more slowly than shut.
         before = self.strain
-        self.strain = strain = slow / (0.45 * self.expected)
+        # What it takes at best cannot be shed: strain is the wait beside it, as a part of the time left for it.
+        self.least = min(slow or self.expected / 2, 1.005 * self.least)
+        self.strain = strain = max(0.0, slow - self.least) / (0.35 * (self.expected - self.least))
         for grade in self.grades:
             grade.asked += 0.3 * (grade.came - grade.asked)
             grade.came = 0.0
