--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -463,7 +463,7 @@
         again = 0.03 < self.failing < 0.3 and slow < 0.3 * self.expected
         # Shut by how far the fleet is over what it answers in time, let out again more slowly than shut.
         before = self.strain
-        # What it takes at best cannot be shed: strain is the wait beside it, as a part of what is left for it.
+        # What it takes at best cannot be shed: strain is the wait beside it, as a part of the time left.
         self.least = min(slow or self.expected / 2, 1.005 * self.least)
         self.strain = strain = max(0.0, slow - self.least) / (0.35 * (self.expected - self.least))
         for grade in self.grades:
