--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -56,6 +56,7 @@
     recent: Mean = field(default_factory=Mean)
     brake: float = 1.0  # how much of its share it is given while it is slow for its share
     gauged: int = -LONGEST_WAIT
+    mute: bool = False  # withdrawn for its silence
     queued: float = 0.0  # how long what waits there now will wait, by its own gauge
     flow: float = 0.0  # good answers a second, smoothed
     goods: float = 0.0  # since the last solve
@@ -247,6 +248,9 @@
     def probed(self, now: int, host: bytes, answered: bool, gauge: Gauge) -> None:
         it = self.hosts.get(host)
         if it and answered:
+            # Sooner, as the design has it, but after a silence only: who fails fast answers probes all along.
+            if it.mute and it.out:
+                it.retry_at, it.mute = min(it.retry_at, now + SECOND), False
             self._gauge(now, it, gauge)
         elif it:
             # A jam or a hang swallows probes too: the last gauge before it must not stand for it.
@@ -314,6 +318,7 @@
                 served = [not silent and t >= 3 and f < t / 3 for t, f in pairs]
                 if host.zone in heard and not any(served):
                     lost += host.share
+                    host.mute = bool(silent)
                     self._withdraw(now, host)
                 else:
                     for zone in heard:
