Shed by what waits at the hosts' gauges, at most three times the lateness heard

Guards: any jam that gauges show first. Could hurt: where few of a fleet report (then lateness decides) or gauges are noisy; hence the three times, and nothing before five reports.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -21,7 +21,7 @@
 SMOOTH, STREAM = 30 * SECOND, 8 * SECOND  # the design's smoothing of latency; that of what comes and goes
 CLASS_FLOOR, FLOOR = 0.08, 0.25  # no class is shut out whole: the worst-served one counts too
 THIN = 0.03  # an away line's part of its strength while home has room: enough to know the way by
-EVERYONE, VERSIONS = 65535, 65536  # the table for all joined proxies; marks begin again after so many
+EVERYONE, VERSIONS = 65535, 65536  # the table for all joined proxies; marks are times, under this
 
 Gauge = dict[str, float]
 
@@ -121,7 +121,7 @@
         self.limit, self.span = terms.message_limit, terms.message_span
         self.pushes: list[Push] = []
         self.moments: list[int] = []  # when all or a zone's proxies were written to
-        self.version, self.reached = 0, Counter[int]()
+        self.reached = Counter[int]()  # by zone, proxies that have a message at this moment
         self.crossing_price, self.strain = terms.crossing_price, 0.0
         # What a zone's proxies meet at the hosts of each: the share that fails, and how long the others take.
         self.ways = [[(Mean(), Mean()) for _ in range(terms.zones)] for _ in range(terms.zones)]
@@ -146,21 +146,23 @@
 
     def listed(self, now: int, entries: Iterable[Listing], whole: bool, fresh: bool) -> None:
         """The list, whole or its changes; not fresh: as it was kept over the start."""
-        named = set()
+        entries = list(entries)
         for host, zone, ready, weight, started in entries:
-            named.add(host)
             it = self.hosts.get(host)
             if it is None and ready:
                 lines, kinds = [0.0] * self.zones * (1 + len(self.grades)), [0] * len(self.grades)
                 failing, share = [Mean() for _ in range(self.zones)], weight if weight > 0 else 1.0
                 self.hosts[host] = Host(host, zone, started, share, failing, kinds, lines)
             elif it and ready and (not it.ready or started > it.started):
-                # A restarted process is cold: out at once, and back by steps from what it can surely carry.
-                it.ready, it.started, it.wait, it.retry_at = True, started, FIRST_WAIT, now
+                # A restarted process is cold: out at once, or eased where it is if the channel is full, and
+                # back by steps from what it can surely carry.
+                it.ready, it.started, it.wait, it.retry_at, it.eased = True, started, FIRST_WAIT, now, now
                 it.latency.mass = it.recent.mass = 0.0
-                self._withdraw(now, it)
+                if self._room(now, 0.6) > (1 + self.head) * len(self.proxies):
+                    self._withdraw(now, it)
             elif it:
                 it.ready = ready
+        named = {entry.host for entry in entries}
         for it in self.hosts.values() if whole else ():
             it.ready = it.ready and it.id in named
         self.known = self.known or fresh
@@ -295,11 +297,10 @@
 
     def _probe(self) -> None:
         ready = [h for h in self.hosts.values() if h.ready]
-        if self.probes and ready:
-            first = int(self.turn)
-            self.turn += min(self.probing * (self.asked or 100.0), len(ready)) * TICK / SECOND
-            for n in range(first, int(self.turn)):
-                self.orders.probe(ready[n % len(ready)].id)
+        first = int(self.turn)
+        self.turn += min(self.probing * (self.asked or 100.0), len(ready)) * TICK / SECOND
+        for n in range(first, int(self.turn)) if self.probes else ():
+            self.orders.probe(ready[n % len(ready)].id)
 
     def _judge(self, now: int) -> None:
         inside = self._inside()
@@ -471,14 +472,12 @@
         inside = self._inside()
         mass = sum(h.recent.mass for h in inside) or 1.0
         slow = sum(h.recent.value * h.recent.mass for h in inside) / mass
-        # Strain is the wait beside the best answer time, as a part of the time left. Late answers from hosts
-        # where little waits are the way's or the proxies' own: nothing to shed for.
+        # Strain is the wait beside the best answer time, as a part of the time left.
         self.least = min(slow or self.expected / 2, 1.005 * self.least)
-        wait = min(max(0.0, slow - self.least), 2 * self._waiting(now, inside))
-        self.strain = strain = wait / (0.35 * (self.expected - self.least))
+        late = max(0.0, slow - self.least)
+        self.strain = strain = self._waiting(now, inside, late) / (0.35 * (self.expected - self.least))
         self.asked, work = sum(g.asked for g in self.grades), sum(g.asked * g.work for g in self.grades)
-        if self.asked > 1:
-            self.expected = work / self.asked
+        self.expected = work / self.asked if self.asked > 1 else self.expected
         # Reports are late and a cut goes on after it helped: not far below what was fulfilled not long ago.
         strength = sum(h.share for h in inside) or 1.0
         self.best = max(0.98 * self.best, sum(h.flow for h in inside) / strength)
@@ -502,13 +501,15 @@
                 self._pay(now)
                 self.orders.admit(EVERYONE, 1 << k, level, way)
 
-    def _waiting(self, now: int, inside: list[Host]) -> float:
-        # By the hosts' gauges: they show the load from all proxies.
+    def _waiting(self, now: int, inside: list[Host], late: float) -> float:
+        # By the hosts' gauges, which are early and show the load from all proxies, or as late as answers are.
+        # Late answers with little waiting are the way's or the proxies' own: nothing to shed for.
         gauged = [h for h in inside if now - h.gauged < max(3 * SECOND, 1.5 * self.spacing)]
-        if 2 * len(gauged) < len(inside):
-            return math.inf
-        flow = sum(h.flow for h in gauged) * self.others
-        return max(0.0, SECOND * sum(h.held for h in gauged) / (flow or 1.0) - self.least * self.holds)
+        if 2 * len(gauged) < len(inside) or now - self.started < 5 * self.report_every:
+            return late
+        flow = sum(h.flow for h in gauged) * self.others or 1.0
+        waits = SECOND * sum(h.held for h in gauged) / flow - self.least * self.holds
+        return max(0.0, min(3 * late, waits))
 
     # The channel
 
@@ -533,9 +534,8 @@
 
     def _send(self, now: int, lines: float, messages: int) -> None:
         if lines and (not self.pushes or self.pushes[-1].at != now):
-            self.version = (self.version + 1) % VERSIONS
-            self.pushes.append(Push(self.version, now))
-            self.orders.mark(self.version)
+            self.pushes.append(Push(now % VERSIONS, now))
+            self.orders.mark(now % VERSIONS)
         if lines:
             self.pushes[-1].lines += lines
             self.pushes[-1].messages += messages
