Let all else wait while a lost zone leaves the tables, in few portions

Now the rest waits, and portions are at least as long as a head. Guards any mass loss or mass drain; could hurt: tables stand still for a second or two then.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -129,7 +129,7 @@
         self.expected = sum(g.work for g in self.grades) / len(self.grades)  # of the mix that comes
         self.admits, self.let_in, self.least = terms.admits, 1.0, self.expected / 2
         self.best, self.asked, self.others = 0.0, 0.0, 1.0
-        self.known = False  # a list newer than the one kept over the start
+        self.known = self.draining = False  # a list newer than that kept over the start; hosts still to go
         self.started, self.reported, self.ticks = now, now, 0
         orders.wake(TICK, 0)
         if terms.ask_for_list:
@@ -142,8 +142,6 @@
         again = c.repeatable == "always" or (c.repeatable == "keyed" and lasts)
         return Grade(c.earnings / c.expected_time, float(c.expected_time), 1 + again)
 
-    # The list
-
     def listed(self, now: int, entries: Iterable[Listing], whole: bool, fresh: bool) -> None:
         """The list, whole or its changes; not fresh: as it was kept over the start."""
         entries = list(entries)
@@ -154,11 +152,10 @@
                 failing, share = [Mean() for _ in range(self.zones)], weight if weight > 0 else 1.0
                 self.hosts[host] = Host(host, zone, started, share, failing, kinds, lines)
             elif it and ready and (not it.ready or started > it.started):
-                # A restarted process is cold: out at once, or eased where it is if the channel is full, and
-                # back by steps from what it can surely carry.
+                # A restarted process is cold: out at once, or eased where it is if the channel is full.
                 it.ready, it.started, it.wait, it.retry_at, it.eased = True, started, FIRST_WAIT, now, now
                 it.latency.mass = it.recent.mass = 0.0
-                if self._room(now, 0.6) > (1 + self.head) * len(self.proxies):
+                if not it.out and self._room(now, 0.6) > (1 + self.head) * len(self.proxies):
                     self._withdraw(now, it)
             elif it:
                 it.ready = ready
@@ -166,26 +163,29 @@
         for it in self.hosts.values() if whole else ():
             it.ready = it.ready and it.id in named
         self.known = self.known or fresh
-        self._drain(now, 0.9)
+        self._drain(now)
         self._lay(now, not any(p.tables[0] >= 0 for p in self.proxies.values()))
 
     def list_failed(self) -> None:
         self.orders.wake(SECOND + self.chance.randrange(SECOND), 1)
 
-    def _drain(self, now: int, part: float) -> None:
-        """What drains or is gone leaves all tables, in portions where the channel holds no more at once."""
-        for host in self.hosts.values():
-            if not host.ready and self._room(now, part) > (1 + self.head) * len(self.proxies):
-                self._withdraw(now, host)
+    def _drain(self, now: int) -> None:
+        # What drains or is gone leaves all tables. If the channel does not hold a lost zone at once all else
+        # waits, and it goes in few portions: in many the heads of their messages use up the grace.
+        gone = [h for h in self.hosts.values() if not h.ready and not h.out]
+        each = max(1, len(self.proxies))
+        fits, most = (int(x / each - self.head) for x in (self._room(now, 1.0), self.queue))
+        self.draining = len(gone) > fits
+        for host in gone[:fits] if fits >= min(len(gone), self.head, most / 2) else ():
+            self._withdraw(now, host)
         # Evidence never empties the tables: with nothing left, all ready hosts come back.
         if not self._inside():
             self._return(now, [h for h in self.hosts.values() if h.ready])
 
     def _withdraw(self, now: int, host: Host) -> None:
-        if not host.out:
-            host.out = True
-            self._pay(now)
-            self.orders.withdraw(host.id, True)
+        host.out = True
+        self._pay(now)
+        self.orders.withdraw(host.id, True)
 
     # The proxies
 
@@ -286,7 +286,7 @@
             mean.mass *= fade
         for proxy in self.proxies.values():
             proxy.rate *= stream
-        self._drain(now, 1.0)
+        self._drain(now)
         self._probe()
         self._judge(now)
         if self.ticks % 2 == 0:
@@ -324,8 +324,7 @@
                     self._forget(now, host)
                     host.barred[sick], self.grades[sick].apart = now + BAR, now + 2 * BAR
                 continue
-            # A host that answers none fails no try until proxies give up, seconds later. Late reports, or a
-            # director that stood still, are nobody's silence: the newest report of any host is the clock.
+            # Late reports or a director's standstill are nobody's silence: the newest of any host is the clock.
             overdue = (self.reported - host.answered - 1.5 * self.spacing) / SECOND
             silent = bool(host.answered) and host.flow * overdue > 7
             failing = bad[host.id] > max(0.5, 2 * usual) and calm
@@ -418,7 +417,7 @@
             values = [self._worth(zone, y) for y in range(self.zones)]
             best = max((v for y, v in enumerate(values) if y != zone), default=0.0) or 1.0
             room = max(0.0, 3 * (self.crossing_price + values[zone] - best)) * max(0.0, 1 - self.strain) ** 2
-            rooms.append(1.05 + room)
+            rooms.append(1.02 + room)
             ways = [1.0 if y == zone else THIN * (v / best) ** 3 for y, v in enumerate(values)]
             # What it fails now it will go on failing: a part of its line, for failures that come and go.
             row = [s * ways[h.zone] * h.failing[zone].good() ** 2 for s, h in pairs]
@@ -457,7 +456,7 @@
             order = [n for n in order if gains[n] * all_row > 0.1 * row[n]]
             if users:
                 order = order[: max(0, int(self._room(now, part) / users - self.head))]
-            # What moves is weighed against what stays, so that half a table sent is right as far as it goes.
+            # Weighed against what stays, so that half a table sent is right as far as it goes.
             rest = [n for n in range(len(inside)) if held[n] and row[n] and n not in order]
             scale = sum(held[n] for n in rest) / sum(row[n] for n in rest) if rest else len(row) / all_row
             for n in order:
@@ -502,8 +501,7 @@
                 self.orders.admit(EVERYONE, 1 << k, level, way)
 
     def _waiting(self, now: int, inside: list[Host], late: float) -> float:
-        # By the hosts' gauges, which are early and show the load from all proxies, or as late as answers are.
-        # Late answers with little waiting are the way's or the proxies' own: nothing to shed for.
+        # Gauges are early, and where answers are late with little waiting it is the way: nothing to shed for.
         gauged = [h for h in inside if now - h.gauged < max(3 * SECOND, 1.5 * self.spacing)]
         if 2 * len(gauged) < len(inside) or now - self.started < 5 * self.report_every:
             return late
@@ -516,7 +514,8 @@
     def _room(self, now: int, part: float) -> float:
         """How many lines still fit in this part of what the rules allow of lines and messages."""
         self.moments = [m for m in self.moments if now - m <= self.span]
-        if 0 < part * self.limit <= len(self.moments) and self.moments[-1] != now:
+        used_up = 0 < part * self.limit <= len(self.moments) and self.moments[-1] != now
+        if used_up or (self.draining and part < 1):
             return 0.0
         # What is not acknowledged for that long was lost with its stream.
         return part * self.queue - sum(p.lines for p in self.pushes if now - p.at < 10 * SECOND)
