--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -324,7 +324,7 @@
                     self._forget(now, host)
                     host.barred[sick], self.grades[sick].apart = now + BAR, now + 2 * BAR
                 continue
-            # Late reports or a director's standstill are nobody's silence: the newest of any host is the clock.
+            # Late reports or a director's standstill are nobody's silence: the newest of all is the clock.
             overdue = (self.reported - host.answered - 1.5 * self.spacing) / SECOND
             silent = bool(host.answered) and host.flow * overdue > 7
             failing = bad[host.id] > max(0.5, 2 * usual) and calm
