Withdraw again for joiners that wait to be bound, bind before tables move

Binding now comes first at each tick, and what is gone is withdrawn once more when a joiner has waited over the hold. Could hurt: weights stand still while hundreds are bound.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -43,8 +43,6 @@
 
 @dataclass(slots=True, eq=False)
 class Host:
-    """All that is known of one host."""
-
     id: bytes
     zone: int
     started: int
@@ -55,6 +53,7 @@
     ready: bool = True
     out: bool = False  # withdrawn from all tables
     mute: bool = False  # withdrawn for its silence
+    told: int = 0  # when it was last withdrawn
     retry_at: int = 0
     wait: int = FIRST_WAIT
     eased: int = -10 * LONGEST_WAIT  # since when it comes back in steps
@@ -170,9 +169,11 @@
         self.orders.wake(SECOND + self.chance.randrange(SECOND), 1)
 
     def _drain(self, now: int) -> None:
-        # What drains or is gone leaves all tables. If the channel does not hold a lost zone at once all else
-        # waits, and it goes in few portions: in many the heads of their messages use up the grace.
-        gone = [h for h in self.hosts.values() if not h.ready and not h.out]
+        # What drains or is gone leaves all tables, also of joiners that wait to be bound. If the channel does
+        # not hold a lost zone at once all else waits, and it goes in few portions: in many, heads use it up.
+        waits = (p.joined for p in self.proxies.values() if p.tables[0] < 0 and now - p.joined > self.hold)
+        late, hosts = max(waits, default=-LONGEST_WAIT), self.hosts.values()
+        gone = [h for h in hosts if not h.ready and (not h.out or 0 < late - h.told < LONGEST_WAIT)]
         each = max(1, len(self.proxies))
         fits, most = (int(x / each - self.head) for x in (self._room(now, 1.0), self.queue))
         self.draining = len(gone) > fits
@@ -183,12 +184,10 @@
             self._return(now, [h for h in self.hosts.values() if h.ready])
 
     def _withdraw(self, now: int, host: Host) -> None:
-        host.out = True
+        host.out, host.told = True, now
         self._pay(now)
         self.orders.withdraw(host.id, True)
 
-    # The proxies
-
     def joined(self, now: int, proxy: int, zone: int, rate: float) -> None:
         self.proxies[proxy] = Proxy(zone % self.zones, now, rate, [-1] * len(self.grades))
 
@@ -257,9 +256,8 @@
     def probed(self, now: int, host: bytes, answered: bool, gauge: Gauge) -> None:
         it = self.hosts.get(host)
         if it and answered:
-            # Sooner, as the design has it, but after a silence only: who fails fast answers probes all along.
-            if it.mute and it.out:
-                it.retry_at, it.mute = min(it.retry_at, now + SECOND), False
+            # Sooner, but after a silence only: who fails fast answers probes all along.
+            it.retry_at = min(it.retry_at, now + SECOND) if it.mute else it.retry_at
             it.gauge(now, gauge)
         elif it and self._worth(it.zone, it.zone) < 0.8:
             # A jam swallows probes: its last gauge must not stand. Unless it is the way there that does.
@@ -289,11 +287,11 @@
         self._drain(now)
         self._probe()
         self._judge(now)
+        self._bind(now)
         if self.ticks % 2 == 0:
             self._learn(now)
             self._ration(now)
             self._lay(now, False)
-        self._bind(now)
 
     def _probe(self) -> None:
         ready = [h for h in self.hosts.values() if h.ready]
--- a/tests/play.py
+++ b/tests/play.py
@@ -100,7 +100,8 @@
         self._order("probe", host)
 
     def mark(self, version: int) -> None:
-        self._later(self.now + 2_000, ["applied", str(version)])
+        for _ in range(3):  # one for each proxy, of which scenarios have no more
+            self._later(self.now + 2_000, ["applied", str(version)])
 
     def watch_list(self) -> None:
         self._order("watch")
