Leave lines that carry little out of the tables

Cause: at full size a pair of proxy and host is used every ten to thirty seconds: each thin away line cost connections, handshakes and a line at every proxy for each change or withdrawal (a lost zone of 49 hosts and 139 proxies does not pass the channel in the grace at all). Now a line under a fifth of its even share is left out while home has room; a table left bare is laid before all else; how late a way was is forgotten when nothing goes there, so that it is tried again. Guards: connection caps, slow handshakes, dear channels. Could hurt: a zone lost at once leaves its proxies without a line for the second or two until the next push, well under the time allowed.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -20,7 +20,7 @@
 BAR = 4 * FIRST_WAIT  # a host barred for a class serves the others meanwhile: no haste to try it there
 SMOOTH, STREAM = 30 * SECOND, 8 * SECOND  # the design's smoothing of latency; that of what comes and goes
 CLASS_FLOOR, FLOOR = 0.08, 0.25  # no class is shut out whole: the worst-served one counts too
-THIN = 0.03  # an away line's part of its strength while home has room: enough to know the way by
+THIN = 0.03  # an away line's part of its strength where the solve begins
 EVERYONE, VERSIONS = 65535, 65536  # the table for all joined proxies; marks are times, under this
 
 Gauge = dict[str, float]
@@ -175,7 +175,7 @@
         late, hosts = max(waits, default=-LONGEST_WAIT), self.hosts.values()
         gone = [h for h in hosts if not h.ready and (not h.out or 0 < late - h.told < LONGEST_WAIT)]
         each = max(1, len(self.proxies))
-        fits, most = (int(x / each - self.head) for x in (self._room(now, 1.0), self.queue))
+        fits, most = (int(x / each - self.head) for x in (self._room(now, 0.95), self.queue))
         self.draining = len(gone) > fits
         for host in gone[:fits] if fits >= min(len(gone), self.head, most / 2) else ():
             self._withdraw(now, host)
@@ -263,8 +263,6 @@
             # A jam swallows probes: its last gauge must not stand. Unless it is the way there that does.
             it.gauge(now, {"q": max(it.held, it.flow * self.others * self.expected / SECOND)})
 
-    # What comes due
-
     def woken(self, now: int, token: int) -> None:
         if token:
             self.orders.watch_list()
@@ -364,8 +362,6 @@
         for host in hosts:
             self.orders.withdraw(host.id, False)
 
-    # Weights
-
     def _learn(self, now: int) -> None:
         # Thirty seconds of smoothing are too long for a host that slows down or jams now: so the brake.
         late = {}
@@ -395,7 +391,8 @@
     def _worth(self, zone: int, other: int) -> float:
         # About the share of a zone's exchanges at another's hosts that is fulfilled in the expected time.
         failing, took = self.ways[zone][other]
-        return failing.good() * (1 - (math.exp(-self.expected / took.value) if took.value else 0.0))
+        late = math.exp(-self.expected / took.value) if took.value else 0.0
+        return failing.good() * (1 - late * took.mass / (took.mass + 1))
 
     def _streams(self, now: int) -> list[tuple[int, int, float]]:
         """What comes to each table in use: table, zone and work a second."""
@@ -433,10 +430,11 @@
             for n, room in enumerate(rooms):
                 rows[n] = [w * room / x if x > room else w for w, x in zip(rows[n], over, strict=True)]
         for row in rows:
-            # No zone's table leans on a cold host: what comes to a zone that is back is known too late.
+            # None leans on a cold host, nor names one to carry little: that costs connections and lines.
             whole = sum(row) / (sum(strength) or 1.0)
-            for n, h in enumerate(inside):
-                row[n] = min(row[n], strength[n] * whole) if self._warm(now, h) < 1 else row[n]
+            for n, (s, h) in enumerate(pairs):
+                row[n] = min(row[n], s * whole) if self._warm(now, h) < 1 else row[n]
+                row[n] *= row[n] >= 0.2 * s * whole
         return [(table, zone, row) for (table, zone, _), row in zip(streams, rows, strict=True)]
 
     def _lay(self, now: int, must: bool, back: Sequence[Host] = ()) -> None:
@@ -448,8 +446,9 @@
             all_held, all_row = sum(held) or 1.0, sum(row) or 1.0
             pairs = zip(inside, row, held, strict=True)
             gains = [2.0 if h in back or w == 0 < x else abs(w / all_row - x / all_held) for h, w, x in pairs]
-            # Small moves wait, so that lines and messages are left when a large one is needed at once.
+            # Small moves wait, so that room is left when a large one is needed at once, or a table is bare.
             part = 0.85 if must or sum(gains) > 0.3 else 0.45 if sum(gains) > 0.08 else 0.0
+            part = part if any(held) else 0.95
             order = sorted(range(len(row)), key=lambda n: -gains[n])
             order = [n for n in order if gains[n] * all_row > 0.1 * row[n]]
             if users:
@@ -463,8 +462,6 @@
                     self._pay(now, zone, users)
                     self.orders.set_line(table, inside[n].id, row[n] * scale)
 
-    # What is let in
-
     def _ration(self, now: int) -> None:
         inside = self._inside()
         mass = sum(h.recent.mass for h in inside) or 1.0
@@ -513,7 +510,7 @@
         """How many lines still fit in this part of what the rules allow of lines and messages."""
         self.moments = [m for m in self.moments if now - m <= self.span]
         used_up = 0 < part * self.limit <= len(self.moments) and self.moments[-1] != now
-        if used_up or (self.draining and part < 1):
+        if used_up or (self.draining and part < 0.95):
             return 0.0
         # What is not acknowledged for that long was lost with its stream.
         return part * self.queue - sum(p.lines for p in self.pushes if now - p.at < 10 * SECOND)
