--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -28,8 +28,6 @@
 
 @dataclass(slots=True)
 class Mean:
-    """A mean over what was heard, the older the less."""
-
     value: float = 0.0
     mass: float = 0.0
 
@@ -194,11 +192,13 @@
     def left(self, proxy: int) -> None:
         self.proxies.pop(proxy, None)
 
-    def applied(self, version: int) -> None:
+    def applied(self, now: int, version: int) -> None:
         # The channel keeps the order: what was ordered before this has left it.
         for it in [p for p in self.pushes if p.version == version]:
             self.pushes = self.pushes[self.pushes.index(it) :]
             it.lines, it.messages = it.lines * (1 - 1 / it.messages), max(1, it.messages - 1)
+        if self.draining:
+            self._drain(now)
 
     def _bind(self, now: int) -> None:
         """Bind as many as the channel holds beside what cannot wait, those with the most traffic first."""
@@ -213,14 +213,12 @@
                 lines = sum(h.lines[table] > 0 for h in inside)
                 if not kinds or not lines:
                     continue
-                if self._room(now, 0.6) < more + lines:
+                if self._room(now, 0.5) < more + lines:
                     return
                 self._send(now, more + lines, 1)
                 it.tables = [table if k in kinds else t for k, t in enumerate(it.tables)]
                 self.orders.bind(number, table, sum(1 << k for k in kinds))
 
-    # What is heard
-
     def heard(self, now: int, zone: int, host: bytes, tries: int, failed: int, cost: int, covers: int,
               gauge: Gauge) -> None:
         """What a zone's proxies met at a host; it may be gone by now, or never have been listed here."""
@@ -447,7 +445,7 @@
             pairs = zip(inside, row, held, strict=True)
             gains = [2.0 if h in back or w == 0 < x else abs(w / all_row - x / all_held) for h, w, x in pairs]
             # Small moves wait, so that room is left when a large one is needed at once, or a table is bare.
-            part = 0.85 if must or sum(gains) > 0.3 else 0.45 if sum(gains) > 0.08 else 0.0
+            part = 0.65 if must or sum(gains) > 0.3 else 0.45 if sum(gains) > 0.08 else 0.0
             part = part if any(held) else 0.95
             order = sorted(range(len(row)), key=lambda n: -gains[n])
             order = [n for n in order if gains[n] * all_row > 0.1 * row[n]]
--- a/tests/play.py
+++ b/tests/play.py
@@ -120,7 +120,7 @@
     elif what in ("list", "cached", "change"):
         director.listed(now, map(listing, rest), what != "change", what != "cached")
     elif what == "applied":
-        director.applied(int(rest[0]))
+        director.applied(now, int(rest[0]))
     elif what == "failed":
         director.list_failed()
     elif what == "join":
