Never leave out the lines that ease returning hosts, weigh moves against all that is not sent

Lines that a table did not have yet were also missing in what a partial push was weighed against. Guards every return under a busy channel.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -442,18 +442,19 @@
         for table, zone, row in self._spread(now, inside):
             held, users = [0.0 if h in back else h.lines[table] for h in inside], used[table]
             all_held, all_row = sum(held) or 1.0, sum(row) or 1.0
-            pairs = zip(inside, row, held, strict=True)
-            gains = [2.0 if h in back or w == 0 < x else abs(w / all_row - x / all_held) for h, w, x in pairs]
+            trio = zip(inside, row, held, strict=True)
+            gains = [abs(w / all_row - x / all_held) + 2 * (w == 0 < x) + 3 * (h in back) for h, w, x in trio]
             # Small moves wait, so that room is left when a large one is needed at once, or a table is bare.
             part = 0.65 if must or sum(gains) > 0.3 else 0.45 if sum(gains) > 0.08 else 0.0
             part = part if any(held) else 0.95
             order = sorted(range(len(row)), key=lambda n: -gains[n])
             order = [n for n in order if gains[n] * all_row > 0.1 * row[n]]
             if users:
-                order = order[: max(0, int(self._room(now, part) / users - self.head))]
+                order = order[: max(len(back), int(self._room(now, part) / users - self.head))]
             # Weighed against what stays, so that half a table sent is right as far as it goes.
-            rest = [n for n in range(len(inside)) if held[n] and row[n] and n not in order]
-            scale = sum(held[n] for n in rest) / sum(row[n] for n in rest) if rest else len(row) / all_row
+            rest = set(range(len(row))).difference(order)
+            stay, want = sum(held[n] for n in rest), sum(row[n] for n in rest)
+            scale = stay / want if stay and want else len(row) / all_row
             for n in order:
                 if row[n] * scale != inside[n].lines[table]:
                     inside[n].lines[table] = row[n] * scale
@@ -502,8 +503,6 @@
         waits = SECOND * sum(h.held for h in gauged) / flow - self.least * self.holds
         return max(0.0, min(3 * late, waits))
 
-    # The channel
-
     def _room(self, now: int, part: float) -> float:
         """How many lines still fit in this part of what the rules allow of lines and messages."""
         self.moments = [m for m in self.moments if now - m <= self.span]
