Let cold hosts wait under strain as well

Hosts withdrawn while cold now wait while strain is over its limit. Could hurt: an overload keeps their strength out until they are warm.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -334,7 +334,7 @@
                 lost += host.share
         # Proxies avoid hosts that fail them: in a storm all they send falls on a cold one just back.
         storm = sum(m.mass * (m.value - 0.25) for row in self.ways for m, _ in row) > 0
-        wait = storm or now - self.started < 10 * self.report_every
+        wait = storm or self.strain > 1 or now - self.started < 10 * self.report_every
         self._return(now, [h for h in ready if now >= h.retry_at and not (wait and self._warm(now, h) < 1)])
 
     def _forget(self, now: int, host: Host) -> None:  # what was tried until now is no evidence any more
