--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -479,7 +479,7 @@
             self.let_in = max(min(self.let_in, able), self.let_in * max(0.6, 1.15 - 0.15 * strain), FLOOR)
         else:
             # Quickly up to what they are known to fulfil, feeling the way beyond it.
-            step = 1.5 if self.let_in < able else 1.2
+            step = 1.5 if self.let_in < able else 1.1
             self.let_in = min(1.0, self.let_in * (step + (1 - step) * strain))
         shed = (1 - self.let_in) * work
         for k, grade in sorted(enumerate(self.grades), key=lambda pair: pair[1].worth):
