--- /dev/null
+++ b/deploy/terms/charts.sexp
@@ -0,0 +1,15 @@
+; Charts and orders: gauges come in answers, no probes, orders never run twice.
+(service "charts"
+  (zones "east" "west")
+  (class "lookup" (expected 800ms) (abandon 2s) (earnings 1) (repeatable always))
+  (class "order"  (expected 1s)    (abandon 3s) (earnings 2) (repeatable never))
+  (grace 3s)
+  (bare 5s)
+  (cold (share 0.2) (time 10s) (multiple 4) (within 3s))
+  (channel (queue 5000) (pace 4500) (head 6) (messages 20) (span 10s) (slowest 500ms))
+  (reports (every 2s) (lines 75) (gauges queue latency))
+  (prices (crossing 0.01))
+  (proxies 6)
+  (list (registry "127.0.0.1:7500") (mode watched))
+  (listen "127.0.0.1:7501")
+  (proxy (standing 5) (shun-after 3) (shun-time 4s)))
--- /dev/null
+++ b/deploy/terms/registro.sexp
@@ -0,0 +1,17 @@
+; A register with two data centres: hosts probed for util and queue, the list pushed.
+(service "registro"
+  (zones "centro" "norte")
+  (class "lookup"   (expected 1500ms) (abandon 5s) (earnings 1) (repeatable always))
+  (class "position" (expected 2s)     (abandon 6s) (earnings 3) (repeatable always))
+  (grace 4s)
+  (bare 6s)
+  (cold (share 0.2) (time 12s) (multiple 3) (within 3s))
+  (channel (queue 3000) (pace 1500) (head 8) (messages 20) (span 10s) (slowest 800ms))
+  (reports (every 1s) (lines 100) (gauges util queue))
+  (probes (allowed yes) (price 0.02) (timeout 250ms))
+  (prices (crossing 0.06))
+  (proxies 8)
+  (admission share)
+  (list (registry "127.0.0.1:7400") (mode watched))
+  (listen "127.0.0.1:7401")
+  (proxy (standing 6) (connect 400ms)))
--- /dev/null
+++ b/ironfall/__main__.py
@@ -0,0 +1,3 @@
+from ironfall.cli import main
+
+main()
--- /dev/null
+++ b/ironfall/cli.py
@@ -0,0 +1,312 @@
+"""`ironfall VERB`: the programs and their tools. Exit codes: 0 done, 1 a rule or check failed, 2 bad input."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json  # noqa: E402
+import logging  # noqa: E402
+import sys  # noqa: E402
+from dataclasses import replace  # noqa: E402
+from pathlib import Path  # noqa: E402
+from typing import Any  # noqa: E402
+
+import click  # noqa: E402
+import structlog  # noqa: E402
+
+from ironfall.terms import Terms, Unreadable, read_terms, show  # noqa: E402
+
+FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+class Address(click.ParamType[tuple[str, int]]):
+    name = "HOST:PORT"
+
+    def convert(self, value: Any, param: Any, ctx: Any) -> tuple[str, int]:
+        if isinstance(value, tuple):
+            return value
+        host, _, port = str(value).rpartition(":")
+        if not host or not port.isdigit() or int(port) > 65535:
+            self.fail(f"{value!r} is no address such as 127.0.0.1:7401", param, ctx)
+        return host, int(port)
+
+
+ADDRESS = Address()
+
+
+def set_up_logs(form: str) -> None:
+    # Sorted keys: two runs that decide alike log alike.
+    shown: Any = structlog.processors.JSONRenderer(sort_keys=True)
+    if form == "text":
+        shown = structlog.dev.ConsoleRenderer(colors=False)
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            shown,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+
+
+def terms_from(path: Path) -> Terms:
+    try:
+        return read_terms(str(path), path.read_text())
+    except (Unreadable, UnicodeDecodeError) as wrong:
+        click.echo(wrong, err=True)
+        sys.exit(2)
+
+
+@click.group()
+@click.option("--log", "form", type=click.Choice(["text", "json"]), default="text", help="Form of the logs on stderr.")
+def main(form: str) -> None:
+    """A control plane for a service's proxies.
+
+    \b
+    Examples:
+      ironfall terms check deploy/terms/resale.sexp
+      ironfall director deploy/terms/resale.sexp
+      ironfall lab play deploy/days/small.day
+    """
+    set_up_logs(form)
+
+
+@main.group()
+def terms() -> None:
+    """Check and show the terms of a service."""
+
+
+@terms.command("check")
+@click.argument("file", type=FILE)
+def terms_check(file: Path) -> None:
+    """Say whether FILE can be started from; each fault with its line and column. Exit 2 if it can't."""
+    terms_from(file)
+    click.echo(f"{file}: good")
+
+
+@terms.command("show")
+@click.argument("file", type=FILE)
+def terms_show(file: Path) -> None:
+    """Show the figures that follow from FILE."""
+    rows = show(terms_from(file))
+    width = max(len(name) for name, _ in rows)
+    for name, value in rows:
+        click.echo(f"{name:{width}}  {value}")
+
+
+def _run_director(file: Path, listen: Any, registry: Any, name: str, zone: str, seed: int | None,
+                  record: Path | None, decide: Any) -> None:  # fmt: skip
+    from ironfall.director.program import Program
+
+    read = terms_from(file)
+    read = replace(read, listen=listen or read.listen, registry=registry or read.registry)
+    if zone and zone not in read.zones:
+        raise click.BadParameter(f"{zone!r} is none of the zones {', '.join(read.zones)}")
+    log = structlog.get_logger().bind(director=name)
+    tape = open(record, "w", buffering=1) if record else None
+    program = Program(read, log, name, zone, seed, decide, tape)
+    try:
+        program.start()
+    except OSError as cause:
+        click.echo(f"can't listen on {read.listen[0]}:{read.listen[1]}: {cause}", err=True)
+        sys.exit(1)
+    sys.exit(program.wait())
+
+
+def director_options(command: Any) -> Any:
+    for option in (
+        click.argument("file", type=FILE),
+        click.option("--listen", type=ADDRESS, help="In place of the terms' (listen ...)."),
+        click.option("--registry", type=ADDRESS, help="In place of the terms' registry."),
+        click.option("--name", default="director", help="Told to the registry and in logs."),
+        click.option("--zone", default="", help="The zone it stands in; the first if left out."),
+        click.option("--seed", type=int, help="Of its chance; a fresh one if left out."),
+        click.option("--record", type=click.Path(path_type=Path), help="Write every turn to this file."),
+    ):
+        command = option(command)
+    return command
+
+
+@main.command()
+@director_options
+def director(file: Path, **about: Any) -> None:
+    """Run a director by the terms in FILE, until SIGTERM.
+
+    \b
+    Example:
+      ironfall --log json director deploy/terms/resale.sexp --name d1
+    """
+    from ironfall.logic import Director
+
+    _run_director(file, **about, decide=Director)
+
+
+@main.command()
+@click.argument("file", type=FILE)
+@click.argument("turns", type=FILE)
+def replay(file: Path, turns: Path) -> None:
+    """Put recorded TURNS to the decisions again, by the terms in FILE: exit 1 where an order differs."""
+    from ironfall.director.turns import replay as again
+    from ironfall.logic import Director
+
+    with open(turns) as lines:
+        count, differing = again(lines, terms_from(file).service, Director)
+    click.echo(f"{count} turns, {len(differing)} with other orders")
+    for text in differing[:5]:
+        click.echo(f"  {text[:500]}")
+    sys.exit(1 if differing or not count else 0)
+
+
+@main.command()
+@click.argument("file", type=FILE)
+@click.option("--as", "who", multiple=True, required=True, help="NAME,ZONE,RATE,HOST:PORT[,FIRST]; one proxy each.")
+@click.option("--director", "directors", type=ADDRESS, multiple=True, help="Dialled in turn; the terms' if left out.")
+@click.option("--registry", type=ADDRESS, help="In place of the terms' registry.")
+@click.option("--tape", type=click.Path(path_type=Path), help="Write what crosses its sockets to this file.")
+@click.option("--seed", type=int, default=1, show_default=True)
+def proxy(file: Path, who: tuple[str, ...], directors: tuple[Any, ...], registry: Any, tape: Path | None,
+          seed: int) -> None:  # fmt: skip
+    """Run obedient proxies by the terms in FILE, until SIGTERM.
+
+    \b
+    Example:
+      ironfall proxy deploy/terms/resale.sexp --as p1,harbour,20,127.0.0.1:7701
+    """
+    import gevent
+
+    from ironfall.lab.play import until_told
+    from ironfall.lab.tape import Tape
+    from ironfall.proxy.program import Proxy, quiet
+
+    read = terms_from(file)
+    read = replace(read, registry=registry or read.registry)
+    written = Tape(tape) if tape else None
+    proxies: list[Proxy] = []
+
+    def start(n: int, text: str) -> None:
+        parts = text.split(",")
+        if len(parts) not in (4, 5) or parts[1] not in read.zones:
+            raise click.BadParameter(f"expected NAME,ZONE,RATE,HOST:PORT[,FIRST], not {text!r}")
+        listen = ADDRESS.convert(parts[3], None, None)
+        tell = written.teller(parts[0]) if written else quiet
+        dialled = list(directors) or [read.listen]
+        one = Proxy(read, parts[0], parts[1], float(parts[2]), listen, dialled, seed * 1000 + n, tell)
+        one.start(int(parts[4]) if len(parts) == 5 else n)
+        proxies.append(one)
+
+    jobs = [gevent.spawn(start, n, text) for n, text in enumerate(who)]
+    gevent.joinall(jobs, raise_error=True)
+
+    def stop() -> None:
+        for one in proxies:
+            one.stop()
+
+    until_told(written, stop)
+
+
+@main.group()
+def lab() -> None:
+    """The laboratory: emulated hosts and clients, days with troubles, and the judge."""
+
+
+@lab.command("director")
+@director_options
+@click.option("--as", "policy", default="ironfall", help="ironfall, a baseline, or a wrong one; see lab/others.py.")
+def lab_director(file: Path, policy: str, **about: Any) -> None:
+    """Run a director with another's decisions: baselines, and wrong ones to try the judge on."""
+    from ironfall.lab.others import DIRECTORS
+
+    if policy not in DIRECTORS:
+        raise click.BadParameter(f"expected one of {', '.join(DIRECTORS)}", param_hint="--as")
+    _run_director(file, **about, decide=DIRECTORS[policy])
+
+
+@lab.command("hosts")
+@click.argument("day", type=FILE)
+@click.option("--registry", type=ADDRESS, required=True)
+@click.option("--control", type=ADDRESS, required=True)
+@click.option("--tape", type=click.Path(path_type=Path), required=True)
+@click.option("--seed", type=int, default=1)
+def lab_hosts(day: Path, registry: Any, control: Any, tape: Path, seed: int) -> None:
+    """Run the emulated hosts of DAY and a stand-in for their registry, until SIGTERM."""
+    import gevent
+
+    from ironfall.lab.day import load
+    from ironfall.lab.play import serve_fleet, terms_of, until_told
+    from ironfall.lab.tape import Tape
+
+    written, read = Tape(tape), load(day)
+    served = gevent.spawn(serve_fleet, read, terms_of(read), registry, control, written, seed)
+    served.link_exception(lambda _: sys.exit(1))
+    until_told(written)
+
+
+@lab.command("clients")
+@click.argument("day", type=FILE)
+@click.option("--proxy", "proxies", type=ADDRESS, multiple=True, required=True, help="In the day's order.")
+@click.option("--starts", type=float, required=True, help="Monotonic time, in seconds.")
+@click.option("--tape", type=click.Path(path_type=Path), required=True)
+@click.option("--seed", type=int, default=1)
+def lab_clients(day: Path, proxies: tuple[Any, ...], starts: float, tape: Path, seed: int) -> None:
+    """Ask the proxies all exchanges of DAY, at times drawn ahead, and end after the last answer."""
+    from ironfall.lab.clients import Clients
+    from ironfall.lab.day import load
+    from ironfall.lab.play import terms_of
+    from ironfall.lab.tape import Tape
+
+    read, written = load(day), Tape(tape)
+    Clients(read, terms_of(read), list(proxies), written.teller("clients"), seed).run(starts)
+    written.flush()
+
+
+@lab.command("play")
+@click.argument("day", type=FILE)
+@click.option("--as", "policy", default="ironfall", help="Whose decisions: ironfall, even, withdrawals-only, ...")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--folder", type=click.Path(path_type=Path), default=Path("runs/last"), show_default=True)
+@click.option("--json", "plain", is_flag=True, help="The report as JSON.")
+@click.option("--quiet", is_flag=True, help="No progress on stderr.")
+def lab_play(day: Path, policy: str, seed: int, folder: Path, plain: bool, quiet: bool) -> None:
+    """Play DAY over loopback sockets and judge it: exit 1 if a rule is broken, 2 if it could not be played.
+
+    \b
+    Example:
+      ironfall lab play deploy/days/bad.day --as even --seed 3
+    """
+    from ironfall.lab.day import BadDay, load
+    from ironfall.lab.others import DIRECTORS
+    from ironfall.lab.play import LAG_MOST, Conductor, NotPlayed
+    from ironfall.lab.report import as_json, as_text
+
+    if policy not in DIRECTORS:
+        raise click.BadParameter(f"expected one of {', '.join(DIRECTORS)}", param_hint="--as")
+
+    def say(text: str) -> None:
+        if not quiet:
+            click.echo(text, err=True)
+
+    try:
+        played = Conductor(load(day), folder, policy, seed, say).play()
+    except (BadDay, Unreadable, NotPlayed, OSError) as wrong:
+        click.echo(wrong, err=True)
+        sys.exit(2)
+    report = as_json(played.verdict)
+    (folder / "report.json").write_text(json.dumps(report, indent=1))
+    click.echo(json.dumps(report) if plain else as_text(played.verdict, played.events))
+    if played.verdict.lag > LAG_MOST:
+        click.echo(f"not counted: the clients were {played.verdict.lag:.2f}s late, this machine was too busy", err=True)
+        sys.exit(2)
+    sys.exit(0 if played.verdict.kept else 1)
+
+
+@lab.command("judge")
+@click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+def lab_judge(folder: Path) -> None:
+    """Judge the tapes of a day played earlier once more."""
+    from ironfall.lab.play import judge_folder
+    from ironfall.lab.report import as_text
+
+    verdict = judge_folder(folder)
+    click.echo(as_text(verdict, []))
+    sys.exit(0 if verdict.kept else 1)
--- /dev/null
+++ b/ironfall/director/channel.py
@@ -0,0 +1,58 @@
+"""The channel from a director to its proxies: messages in order, each as long as its lines at the agreed pace."""
+
+from collections import deque
+from dataclasses import dataclass
+
+SECOND = 10_000
+
+
+@dataclass(slots=True)
+class Message:
+    proxy: int
+    version: int
+    lines: float
+    ordered: int
+    mark: int  # -1 for none
+    whole: bool  # a whole state in place of changes
+    leaves: float = 0.0
+
+
+class Channel:
+    """Pure. The backlog is what was ordered and has not left; times are tenths of a millisecond."""
+
+    def __init__(self, lines_each_second: float) -> None:
+        self.pace = lines_each_second / SECOND
+        self.waiting: deque[Message] = deque()
+        self.backlog = 0.0
+        self.most = 0.0  # the largest backlog so far
+        self.free_at = 0.0
+        self.sent = 0.0  # lines that left
+
+    def put(self, now: int, message: Message) -> None:
+        self.free_at = max(self.free_at, float(now)) + message.lines / self.pace
+        message.leaves = self.free_at
+        self.waiting.append(message)
+        self.backlog += message.lines
+        self.most = max(self.most, self.backlog)
+
+    def due(self) -> float | None:
+        """When the next message leaves."""
+        return self.waiting[0].leaves if self.waiting else None
+
+    def leave(self, now: int) -> list[Message]:
+        """Those whose time has come, in order."""
+        gone = []
+        while self.waiting and self.waiting[0].leaves <= now:
+            message = self.waiting.popleft()
+            self.backlog -= message.lines
+            self.sent += message.lines
+            gone.append(message)
+        if not self.waiting:
+            self.backlog = 0.0
+        return gone
+
+    def forget(self, proxy: int) -> None:
+        """A stream has ended: what waits for it leaves in its time, to nobody, as it would on a real line."""
+        for message in self.waiting:
+            if message.proxy == proxy:
+                message.proxy = -1
--- /dev/null
+++ b/ironfall/director/explain.py
@@ -0,0 +1,33 @@
+"""The evidence behind an order, read off the module's own records for the logs. Decides nothing."""
+
+from typing import Any
+
+from ironfall.logic import Director
+
+
+def withdrawal(director: Any, host: bytes, now: int) -> dict[str, Any]:
+    """Why a host was taken out or came back, in figures an operator can check."""
+    it = director.hosts.get(host) if isinstance(director, Director) else None
+    if it is None:
+        return {}
+    cause = "failing"
+    if not it.ready:
+        cause = "drains or is gone from the list"
+    elif it.mute:
+        cause = "silent: its usual answers stay away"
+    elif it.started and it.eased >= it.judged and now - it.eased < 1_000:
+        cause = "restarted: it comes back in steps"
+    return {
+        "cause": cause,
+        "failing": [round(m.value, 3) for m in it.failing],
+        "tries": [round(m.mass, 1) for m in it.failing],
+        "answers_ms": round(it.recent.value / 10, 1),
+        "waiting": round(it.held, 1),
+        "retry_s": round(max(0, it.retry_at - now) / 10_000, 1),
+    }
+
+
+def admission(director: Any) -> dict[str, Any]:
+    if not isinstance(director, Director):
+        return {}
+    return {"strain": round(director.strain, 2), "let_in": round(director.let_in, 3), "asked": round(director.asked, 1)}
--- /dev/null
+++ b/ironfall/director/program.py
@@ -0,0 +1,325 @@
+"""The director as a program: the long-poll protocol's server end, the registry's watcher and the probes."""
+
+import json
+import random
+import secrets
+import signal
+import time
+from typing import Any, TextIO
+
+import gevent
+from gevent.event import Event
+
+from ironfall.api import codec
+from ironfall.api.exchange import Link, address_of, read_gauges
+from ironfall.api.http import Answer, Bounds, Gone, HttpClient, HttpServer, Refused, Request
+from ironfall.director.clock import Clock
+from ironfall.director.intake import sane
+from ironfall.director.roster import BadList
+from ironfall.director.sessions import Full, Session
+from ironfall.director.turns import Decide, Live
+from ironfall.generated import ironfall_pb2 as pb
+from ironfall.logic import Director
+from ironfall.terms import Terms
+
+SECOND = 10_000
+PROBES_MOST = 64  # in flight; a host that is asked for one more is passed over this time
+LIST_WAIT = 10.0  # seconds a watch is held by the registry
+UNPACKED = 8  # a body may unpack to this many times its limit
+
+
+class Program:
+    """A running director. `start()` returns once it listens; `wait()` until it was told to stop."""
+
+    def __init__(self, terms: Terms, log: Any, name: str = "director", zone: str = "", seed: int | None = None,
+                 decide: Decide = Director, record: TextIO | None = None) -> None:  # fmt: skip
+        self.terms, self.log, self.name = terms, log, name
+        self.zone = zone or terms.zones[0]
+        seed = secrets.randbits(63) if seed is None else seed
+        self.chance = random.Random(seed + 1)  # of jitter alone: the module's is its own
+        # Ordered over starts, as long as the machine's clock is not set back by hand.
+        epoch = time.time_ns() // 1000
+        self.live = Live(terms, seed, Clock(time.monotonic), epoch, decide, log, record)
+        self.live.world = self
+        limits = terms.limits
+        bounds = Bounds(limits.held, limits.body, limits.header_time / SECOND, limits.idle / SECOND,
+                        limits.write_time / SECOND)  # fmt: skip
+        self.server = HttpServer(terms.listen, bounds, self.handle)
+        self.asked = Event()
+        self.links: dict[str, Link] = {}
+        self.probing: set[str] = set()
+        self.loop: gevent.Greenlet | None = None
+
+    # life
+
+    def start(self) -> None:
+        self.loop = gevent.spawn(self.live.run)
+        self.loop.link_exception(self._broken)
+        gevent.spawn(self._watch_list)
+        self.server.start()
+        self.log.info("listening", address=f"{self.terms.listen[0]}:{self.server.port}", epoch=self.live.epoch)
+
+    def wait(self) -> int:
+        """Until SIGTERM or SIGINT; 0, or 1 when the decisions broke."""
+        self.done = Event()
+        for which in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(which, self.stop)
+        self.done.wait()
+        return 1 if self.loop is not None and self.loop.exception else 0
+
+    def stop(self) -> None:
+        # Held polls are let go first, with a plain answer, so that proxies turn to another director at once.
+        self.live.stop()
+        self.server.stop(1.0)
+        self.log.info("stopped", turns=self.live.lengths.get_total_count())
+        if hasattr(self, "done"):
+            self.done.set()
+
+    def _broken(self, loop: gevent.Greenlet) -> None:
+        # Better no director than one that no longer decides: proxies keep their tables or find another.
+        self.log.error("the decisions broke", cause=repr(loop.exception))
+        self.stop()
+
+    # World, for the turn loop
+
+    def watch(self) -> None:
+        self.asked.set()
+
+    def probe(self, host: str) -> None:
+        if host in self.probing or len(self.probing) >= PROBES_MOST:
+            self.live.count("probes passed over")
+            return
+        self.probing.add(host)
+        gevent.spawn(self._probe, host)
+
+    def _probe(self, host: str) -> None:
+        stalls, answer = self.live.clock.stalls, None
+        try:
+            with gevent.Timeout(self.terms.probe_timeout / SECOND, False):
+                link = self.links.get(host)
+                if link is None or not link.open:
+                    hello = pb.Hello(who=f"director {self.name}", zone=self.zone)
+                    link = self.links[host] = Link(address_of(host), hello, self.terms.probe_timeout / SECOND)
+                answer = link.send("probe", pb.Probe(host=host)).get()
+        except OSError:
+            pass
+        finally:
+            self.probing.discard(host)
+        self.live.count("probes")
+        if stalls != self.live.clock.stalls:
+            return  # the silence may have been the director's own
+        good = answer is not None and answer.outcome == pb.FULFILLED
+        gauges = read_gauges(answer.gauges) if answer is not None else {}
+        known = self.live.roster.ids.get(host)
+        if known is not None:
+            self.live.put("probed", known, good, gauges)
+
+    # the list
+
+    def _watch_list(self) -> None:
+        client = HttpClient(self.terms.registry)
+        after, wait = -1, 0.2
+        while not self.live.stopping:
+            self.asked.wait()
+            if self.terms.service.ask_for_list:
+                self.asked.clear()
+            while not self.live.stopping:
+                try:
+                    after = self._ask(client, after)
+                    wait = 0.2
+                except (OSError, BadList) as cause:
+                    self.live.count("list failures")
+                    self.log.warning("list failed", cause=str(cause))
+                    if self.terms.service.ask_for_list:
+                        self.live.put("list_failed")
+                        break
+                    # Safe to ask again at any time: an answer replaces what is held. No end to it, for
+                    # without a list there is no director; the wait grows to five seconds.
+                    gevent.sleep(wait * (0.5 + self.chance.random()))
+                    wait = min(5.0, 2 * wait)
+
+    def _ask(self, client: HttpClient, after: int) -> int:
+        # Asked by name: an operator sees at the registry who was told what.
+        path = f"/v1/list?after={after}&wait_ms={LIST_WAIT * 1000:.0f}&who={self.name}"
+        answer = client.call("GET", path, LIST_WAIT + 2)
+        if answer.status == 204:
+            return after
+        if answer.status != 200:
+            raise BadList(f"the registry answers {answer.status}")
+        try:
+            told = json.loads(answer.body)
+            version, whole, rows = int(told["version"]), bool(told["whole"]), told["hosts"]
+        except (ValueError, KeyError, TypeError) as wrong:
+            raise BadList(f"not a list: {type(wrong).__name__} {wrong}") from None
+        listing = self.live.roster.read(self.live.clock.now(), rows, whole)
+        while not self.live.put("listed", listing, whole, True):
+            gevent.sleep(0.05)  # never dropped: the registry waits, and adds up what comes meanwhile
+        return version
+
+    # the protocol
+
+    def handle(self, request: Request) -> Answer:
+        route = (request.method, request.path)
+        if self.live.stopping:
+            raise Refused(503, "this director is stopping; turn to another", 1)
+        if route == ("GET", "/v1/poll"):
+            return self._poll(request)
+        if route == ("POST", "/v1/sums"):
+            return self._sums(request)
+        if route == ("POST", "/v1/join"):
+            return self._join(request)
+        if route == ("POST", "/v1/leave"):
+            return self._leave(request)
+        if route == ("GET", "/v1/status"):
+            return Answer(200, json.dumps(self.status(), indent=1).encode() + b"\n", {"Content-Type": codec.JSON})
+        known = ("/v1/poll", "/v1/sums", "/v1/join", "/v1/leave", "/v1/status")
+        raise Refused(405 if request.path in known else 404, f"no {request.method} {request.path} here")
+
+    def _decode(self, kind: type[Any], request: Request) -> Any:
+        form, encoding = request.headers.get("content-type", ""), request.headers.get("content-encoding", "")
+        try:
+            return codec.decode(kind, bytes(request.body), form, encoding, UNPACKED * self.terms.limits.body)
+        except codec.Undecodable as wrong:
+            raise Refused(400, str(wrong)) from None
+
+    def _encode(self, request: Request, message: Any) -> Answer:
+        accept, encodings = request.headers.get("accept", ""), request.headers.get("accept-encoding", "")
+        body, headers = codec.encode(message, accept, encodings)
+        return Answer(200, body, headers)
+
+    def _session(self, token: str) -> Session:
+        session = self.live.sessions.by_token.get(token)
+        if session is None:
+            raise Refused(410, "no such session here: join again")
+        return session
+
+    def _join(self, request: Request) -> Answer:
+        join, live = self._decode(pb.Join, request), self.live
+        if not join.proxy or len(join.proxy) > 200:
+            raise Refused(400, "proxy: expected a name of up to 200 bytes")
+        if join.zone not in self.terms.zones:
+            raise Refused(400, f"zone: expected one of {', '.join(self.terms.zones)}, not {join.zone!r}")
+        if not 0 <= join.rate < 1e9:
+            raise Refused(400, "rate: expected exchanges a second from 0 up")
+        if len(live.events) >= self.terms.limits.events:
+            raise Refused(503, "too many events wait for a turn", 1)
+        old = live.sessions.by_name.get(join.proxy)
+        if old is not None:
+            live.leave(old, "joined anew")
+        zone = self.terms.zone(join.zone)
+        try:
+            token = secrets.token_urlsafe(12)
+            session = live.sessions.open(live.clock.now(), token, join.proxy, zone, 0, lambda: None)
+        except Full:
+            raise Refused(503, f"{self.terms.limits.sessions} proxies are joined, and no more are taken", 2) from None
+        session.released = session.confirmed = live.publication.join(session.number)
+        live.put("joined", session.number, zone, join.rate)
+        self.log.info("proxy joined", proxy=join.proxy, zone=join.zone, number=session.number)
+        return self._encode(request, pb.Joined(
+            session=token, epoch=live.epoch, version=session.released,
+            wait_ms=self.terms.limits.wait // 10, report_ms=self.terms.service.report_every // 10,
+        ))  # fmt: skip
+
+    def _leave(self, request: Request) -> Answer:
+        self.live.leave(self._session(self._decode(pb.Leave, request).session), "said so")
+        return Answer(204)
+
+    def _poll(self, request: Request) -> Answer:
+        live = self.live
+        session = self._session(request.query.get("session", ""))
+        epoch, version = request.number("epoch"), request.number("version")
+        if epoch != live.epoch:
+            live.count("polls of another epoch")
+            raise Refused(410, f"epoch {epoch} is not that of this director: join again")
+        if not live.sessions.may_poll(live.clock.now(), session):
+            raise Refused(429, f"over {self.terms.limits.polls} polls a second", 1)
+        for message in live.sessions.confirm(session, version):
+            if message.mark >= 0:
+                live.put("applied", message)
+        whole = request.number("whole", 0) == 1
+        wait = min(self.terms.limits.wait / SECOND, max(0, request.number("wait_ms", 10**9)) / 1000)
+        # Jittered, so that ten thousand polls begun at one moment do not end at one.
+        until = time.monotonic() + wait * (0.8 + 0.2 * self.chance.random())
+        session.wake()
+        event = Event()
+        session.wake, session.waiter = event.set, session.waiter + 1
+        mine = session.waiter
+        session.held += 1
+        try:
+            while True:
+                if live.sessions.by_token.get(session.token) is not session:
+                    raise Refused(410, "this session has ended: join again")
+                if live.stopping:
+                    raise Refused(503, "this director is stopping; turn to another", 1)
+                if session.waiter != mine:
+                    return Answer(204)  # a newer poll of this session has taken over
+                state = self._news(session, version, whole)
+                if state is not None:
+                    return self._encode(request, state)
+                event.clear()
+                left = until - time.monotonic()
+                if left <= 0 or not request.hold(event, left):
+                    return Answer(204)
+        except Gone:
+            live.count("polls cut")
+            raise
+        finally:
+            session.held -= 1
+            session.heard = live.clock.now()
+
+    def _news(self, session: Session, version: int, whole: bool) -> pb.State | None:
+        live, published = self.live, self.live.publication
+        stale = version > session.released or not published.reaches(version, session.released)
+        if whole or stale:
+            if session.whole_at < 0:
+                never = version > session.released
+                why = "asked for" if whole else "never published" if never else "compacted"
+                live.want_whole(session, why)
+                return None
+            session.whole_at = -1
+            delta = published.delta(session.number, -1, session.released)
+        elif version < session.released:
+            delta = published.delta(session.number, version, session.released)
+        else:
+            return None
+        carried = [(m.version, int(m.leaves - m.ordered) * 100, round(m.lines)) for m in session.carried]
+        return codec.pack_state(delta, carried)
+
+    def _sums(self, request: Request) -> Answer:
+        sums, live = self._decode(pb.Sums, request), self.live
+        session, now = self._session(sums.session), self.live.clock.now()
+        if sums.number <= session.sums:
+            live.count("sums repeated")  # a retry whose first try came through: counted once
+            return Answer(204)
+        session.sums = sums.number
+        covers = min(60 * SECOND, max(10, sums.covers_ms * 10))
+        for met in sums.met:
+            host = live.roster.ids.get(met.host)
+            if host is None or not sane(met.tries, met.failed, met.good_us):
+                live.count("sums not understood")
+                continue
+            live.intake.add_met(now, covers, session.zone, host, met.tries, met.failed, met.good_us / 100,
+                                read_gauges(met.gauges))  # fmt: skip
+        for came in sums.came:
+            if came.kind >= len(self.terms.classes) or came.came > 10_000_000:
+                live.count("sums not understood")
+                continue
+            live.intake.add_came(session.number, came.kind, came.came, min(came.lost, came.came))
+        return Answer(204)
+
+    def status(self) -> dict[str, Any]:
+        live = self.live
+
+        def spread(histogram: Any) -> dict[str, float]:
+            return {f"p{p}_ms": histogram.get_value_at_percentile(p) / 1000 for p in (50, 99)}
+
+        return {
+            "name": self.name, "epoch": live.epoch, "version": live.publication.version,
+            "hosts": len(live.roster.entries), "withdrawn": sorted(live.publication.outs),
+            "proxies": len(live.sessions.by_token), "connections": self.server.open,
+            "backlog": round(live.channel.backlog, 1), "backlog_most": round(live.channel.most, 1),
+            "stalls": live.clock.stalls, "turns": live.lengths.get_total_count(),
+            "turn": spread(live.lengths), "event_to_turn": spread(live.waits), "order_to_applied": spread(live.applies),
+            "levels": {self.terms.classes[k]: v / 1e6 for k, (v, _) in live.publication.admits.items()},
+            "counts": {**live.counts, **self.server.counts},
+        }  # fmt: skip
--- /dev/null
+++ b/ironfall/director/roster.py
@@ -0,0 +1,90 @@
+"""The list of hosts as the registry tells it, with an id of six bytes for each for the module. Pure.
+
+A host is a name at an address: `node7@127.0.2.7:9000`. When two hosts swap addresses, both are new hosts and the
+old two are gone: learnt strength and zone belong to the machine, and a withdrawal of the one must not hit the other.
+"""
+
+import socket
+import struct
+from dataclasses import dataclass
+from typing import Any
+
+from ironfall.api.exchange import address_of
+from ironfall.interface import Listing
+
+
+class BadList(Exception):
+    """The registry's answer can't be taken; the text says where it is wrong. The list held stays."""
+
+
+@dataclass(slots=True)
+class Entry:
+    host: str
+    id: bytes
+    zone: int
+    ready: bool
+    weight: float
+    incarnation: str
+    started: int
+
+
+class Roster:
+    def __init__(self, zones: tuple[str, ...], cold_time: int) -> None:
+        self.zones, self.cold_time = zones, cold_time
+        self.entries: dict[str, Entry] = {}
+        self.ids: dict[str, bytes] = {}  # for ever: what a host that left was called must not become another's
+        self.hosts: dict[bytes, str] = {}
+
+    def read(self, now: int, rows: Any, whole: bool) -> list[Listing]:
+        """What changed, for the module. Raises `BadList`, and then nothing of it was taken."""
+        if not isinstance(rows, list):
+            raise BadList("expected a list of hosts")
+        found, seen = [], set()
+        for place, row in enumerate(rows):
+            found.append(self._entry(now, place, row))
+            if found[-1].host in seen:
+                raise BadList(f"host {place}: {found[-1].host} is listed twice")
+            seen.add(found[-1].host)
+        gone = [e for e in self.entries.values() if whole and e.host not in seen]
+        for entry in found:
+            self.entries[entry.host] = entry
+        for entry in gone:
+            del self.entries[entry.host]
+        return [Listing(e.id, e.zone, e.ready, e.weight, e.started) for e in found]
+
+    def _entry(self, now: int, place: int, row: Any) -> Entry:
+        try:
+            name, address, zone = str(row["name"]), str(row["address"]), str(row["zone"])
+            state, weight = str(row["state"]), float(row.get("weight", 1.0))
+            incarnation, age = str(row.get("incarnation", "")), float(row.get("age_ms", 1e12))
+        except (KeyError, TypeError, ValueError, AttributeError) as wrong:
+            raise BadList(f"host {place}: {type(wrong).__name__} {wrong}") from None
+        if state not in ("ready", "draining", "gone"):
+            raise BadList(f"host {place} ({name}): unknown state {state!r}")
+        if zone not in self.zones:
+            raise BadList(f"host {place} ({name}): unknown zone {zone!r}")
+        if not name or "@" in name or "/" in name or not 0 <= weight < 1e6 or not 0 <= age:
+            raise BadList(f"host {place} ({name}): a bad name, weight or age")
+        try:
+            ip, port = address_of(f"{name}@{address}")
+            packed = socket.inet_aton(ip) + struct.pack(">H", port)
+        except (OSError, ValueError, struct.error):
+            raise BadList(f"host {place} ({name}): {address!r} is no IPv4 address and port") from None
+        host = f"{name}@{address}"
+        known = self.entries.get(host)
+        if known and known.incarnation == incarnation:
+            started = known.started  # worked out once: an age that arrives late would look like a new start
+        elif known:
+            started = max(now - round(age * 10), known.started + 1)
+        else:
+            started = now - round(age * 10) if age * 10 < 2 * self.cold_time else 0
+        place_in = self.zones.index(zone)
+        return Entry(host, self._id(host, packed), place_in, state == "ready", weight, incarnation, started)
+
+    def _id(self, host: str, packed: bytes) -> bytes:
+        if host not in self.ids:
+            # The second host seen at an address can't be called by it: it gets one of 0.0.0.0/8, never an address.
+            spare = struct.pack(">IH", len(self.ids) >> 16, len(self.ids) & 0xFFFF)
+            free = packed if packed not in self.hosts else spare
+            self.ids[host], self.hosts[free] = free, host
+        return self.ids[host]
--- /dev/null
+++ b/ironfall/director/sessions.py
@@ -0,0 +1,80 @@
+"""Sessions of joined proxies: what each was released, has confirmed, and when it is gone. Pure but for `wake`."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ironfall.director.channel import Message
+
+SECOND = 10_000
+
+
+@dataclass(slots=True, eq=False)
+class Session:
+    token: str
+    name: str
+    number: int
+    zone: int
+    released: int  # the newest version that has left the channel for it
+    confirmed: int
+    heard: int  # its last poll or the end of its last held one
+    wake: Callable[[], None]
+    held: int = 0  # polls waiting now
+    waiter: int = 0  # the newest poll: an older one that still waits is let go
+    sums: int = 0  # the number of the last sums counted
+    polls: float = 0.0  # what is left of its allowance
+    carried: list[Message] = field(default_factory=list)  # left the channel, not yet confirmed
+    resync: bool = False  # a whole state waits in the channel
+    whole_at: int = -1  # a whole state may be told up to here
+
+
+class Full(Exception):
+    """No more sessions are taken."""
+
+
+class Sessions:
+    def __init__(self, most: int, lapse: int, polls_each_second: int) -> None:
+        self.most, self.lapse, self.polls = most, lapse, polls_each_second
+        self.by_token: dict[str, Session] = {}
+        self.by_name: dict[str, Session] = {}
+        self.by_number: dict[int, Session] = {}
+        self.next = 0
+
+    def open(self, now: int, token: str, name: str, zone: int, version: int, wake: Callable[[], None]) -> Session:
+        if len(self.by_token) >= self.most:
+            raise Full
+        while self.next in self.by_number:
+            self.next = (self.next + 1) % 65_535
+        session = Session(token, name, self.next, zone, version, version, now, wake, polls=2.0 * self.polls)
+        self.next = (self.next + 1) % 65_535  # a number is used again as late as may be
+        self.by_token[token] = self.by_name[name] = self.by_number[session.number] = session
+        return session
+
+    def close(self, session: Session) -> None:
+        self.by_token.pop(session.token, None)
+        self.by_number.pop(session.number, None)
+        if self.by_name.get(session.name) is session:
+            del self.by_name[session.name]
+        session.wake()
+
+    def lapsed(self, now: int) -> list[Session]:
+        """Those that hold no poll and have not polled for the time allowed: not at the first cut."""
+        return [s for s in self.by_token.values() if not s.held and now - s.heard > self.lapse]
+
+    def may_poll(self, now: int, session: Session) -> bool:
+        """A tight loop of polls uses up its allowance; the others keep theirs."""
+        gained = (now - session.heard) * self.polls / SECOND
+        session.polls = min(2.0 * self.polls, session.polls + gained)
+        session.heard = now
+        if session.polls < 1:
+            return False
+        session.polls -= 1
+        return True
+
+    def confirm(self, session: Session, version: int) -> list[Message]:
+        """The proxy holds this version: the messages that it thereby acknowledges, in order."""
+        if not session.confirmed <= version <= session.released:
+            return []
+        session.confirmed = version
+        done = [m for m in session.carried if m.version <= version]
+        session.carried = [m for m in session.carried if m.version > version]
+        return done
--- /dev/null
+++ b/ironfall/director/turns.py
@@ -0,0 +1,328 @@
+"""The turn: all that came in since the last one, in one order, at one clock reading, put to the decisions.
+
+One greenlet (`Live.run`) owns the module, the publication and the channel; others only put events into a bounded
+queue or add sums to the intake. The seed, the terms and the sequence of turns determine every order, so that a
+record of turns can be played again (`replay`).
+"""
+
+import heapq
+import json
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Protocol, TextIO
+
+from gevent.event import Event
+from hdrh.histogram import HdrHistogram
+
+from ironfall.director import explain
+from ironfall.director.channel import Channel, Message
+from ironfall.director.clock import Clock
+from ironfall.director.intake import Came, Intake, Met
+from ironfall.director.roster import Roster
+from ironfall.director.sessions import Session, Sessions
+from ironfall.interface import Listing, Orders, ServiceTerms
+from ironfall.publication import Publication
+from ironfall.terms import Terms
+
+SECOND = 10_000
+GAP = 40  # between two turns at the least, so that what comes together is decided together
+BEAT = 0.1  # seconds; the loop reads the clock at least that often, and so sees its own standstill
+EVERYONE = 65535
+# Events of one turn go to the module in this order; those of a kind in the order in which they came.
+RANK = {"listed": 0, "list_failed": 1, "left": 2, "joined": 3, "applied": 4, "probed": 5}
+
+Decide = Callable[[Orders, ServiceTerms, random.Random, int], Any]
+
+
+class World(Protocol):
+    """What the turn loop sets going and does not wait for."""
+
+    def watch(self) -> None: ...
+    def probe(self, host: str) -> None: ...
+
+
+class Given:
+    """`Orders` of the live director: into the publication, the timers and the world."""
+
+    def __init__(self, live: "Live") -> None:
+        self.live = live
+        self.mark_now = -1
+        self.orders: list[list[Any]] = []
+        self.said: list[tuple[str, dict[str, Any]]] = []
+
+    def set_line(self, table: int, host: bytes, weight: float) -> None:
+        name = self.live.roster.hosts[host]
+        self.live.publication.set_line(table, name, weight)
+        self.orders.append(["set_line", table, host.hex(), weight])
+        self.said.append(("line", {"table": table, "host": name, "weight": round(weight, 4)}))
+
+    def bind(self, proxy: int, table: int, classes: int) -> None:
+        self.live.publication.bind(proxy, table, classes)
+        self.orders.append(["bind", proxy, table, classes])
+        session = self.live.sessions.by_number.get(proxy)
+        self.said.append(("bind", {"proxy": session.name if session else proxy, "table": table, "classes": classes}))
+
+    def withdraw(self, host: bytes, out: bool) -> None:
+        name = self.live.roster.hosts[host]
+        self.live.publication.withdraw(name, out)
+        self.orders.append(["withdraw", host.hex(), out])
+        evidence = explain.withdrawal(self.live.decisions, host, self.live.at)
+        self.said.append(("withdraw" if out else "return", {"host": name, **evidence}))
+
+    def admit(self, table: int, classes: int, level: float, tries: int) -> None:
+        if table != EVERYONE:
+            raise NotImplementedError("levels of one table are not published")
+        self.live.publication.admit(classes, level, tries)
+        self.orders.append(["admit", table, classes, level, tries])
+        said = {"classes": classes, "level": round(level, 4), "tries": tries, **explain.admission(self.live.decisions)}
+        self.said.append(("admit", said))
+
+    def probe(self, host: bytes) -> None:
+        self.orders.append(["probe", host.hex()])
+        self.live.world.probe(self.live.roster.hosts[host])
+
+    def mark(self, version: int) -> None:
+        self.orders.append(["mark", version])
+        self.mark_now = version
+
+    def watch_list(self) -> None:
+        self.orders.append(["watch_list"])
+        self.live.world.watch()
+
+    def wake(self, delay: int, token: int) -> None:
+        self.orders.append(["wake", delay, token])
+        self.live.later(self.live.at + delay, token)
+
+    def note(self, text: str) -> None:
+        self.orders.append(["note", text])
+        self.said.append(("note", {"text": text}))
+
+
+class Live:
+    """One director. `world` is set by whoever starts it, before `run`."""
+
+    world: World
+
+    def __init__(self, terms: Terms, seed: int, clock: Clock, epoch: int, decide: Decide, log: Any,
+                 record: TextIO | None = None) -> None:  # fmt: skip
+        self.terms, self.clock, self.epoch, self.log, self.record = terms, clock, epoch, log, record
+        self.decide, self.seed = decide, seed
+        limits = terms.limits
+        now = self.at = clock.now()
+        self.publication = Publication(epoch, len(terms.classes), limits.versions, limits.entries)
+        self.channel = Channel(terms.lines_each_second)
+        self.intake = Intake(now, terms.service.report_every, terms.report_lines)
+        self.roster = Roster(terms.zones, terms.service.cold_time)
+        self.sessions = Sessions(limits.sessions, limits.lapse, limits.polls)
+        self.events: deque[tuple[int, str, tuple[Any, ...]]] = deque()
+        self.timers: list[tuple[int, int, int]] = []
+        self.timed = 0
+        self.resyncs: deque[Session] = deque()
+        self.stir = Event()
+        self.stopping = False
+        self.counts: dict[str, int] = {}
+        self.lengths = HdrHistogram(1, 60_000_000, 3)  # microseconds of a turn
+        self.waits = HdrHistogram(1, 60_000_000, 3)  # from event to the turn that takes it
+        self.applies = HdrHistogram(1, 600_000_000, 3)  # from order to the proxy's confirmation
+        self.given = Given(self)
+        self.decisions: Any = None
+
+    def count(self, what: str, more: int = 1) -> None:
+        self.counts[what] = self.counts.get(what, 0) + more
+
+    # what other greenlets do
+
+    def put(self, what: str, *about: Any) -> bool:
+        """An event for the next turn. False when the queue is full: the sender is held back."""
+        if len(self.events) >= self.terms.limits.events and what != "left":
+            self.count("events refused")
+            return False
+        self.events.append((self.clock.now(), what, about))
+        self.stir.set()
+        return True
+
+    def later(self, at: int, token: int) -> None:
+        self.timed += 1
+        heapq.heappush(self.timers, (at, self.timed, token))
+
+    def leave(self, session: Session, why: str) -> None:
+        self.sessions.close(session)
+        self.publication.leave(session.number)
+        self.channel.forget(session.number)
+        self.intake.forget(session.number)
+        self.put("left", session.number)
+        self.log.info("proxy left", proxy=session.name, number=session.number, why=why)
+
+    def want_whole(self, session: Session, why: str) -> None:
+        """A whole state for a proxy that can't be told a delta; it goes through the channel like all else."""
+        if not session.resync:
+            session.resync = True
+            self.resyncs.append(session)
+            self.count(f"whole states: {why}")
+            self.log.info("whole state", proxy=session.name, cause=why)
+            self.stir.set()
+
+    # the loop
+
+    def run(self) -> None:
+        self.at = self.clock.now()
+        self.decisions = self.decide(self.given, self.terms.service, random.Random(self.seed), self.at)
+        if self.record:
+            first = {"seed": self.seed, "now": self.at, "orders": self.given.orders}
+            self.record.write(json.dumps(first) + "\n")
+        self._close(self.at)
+        if not self.terms.service.ask_for_list:
+            self.world.watch()
+        last_turn, checked = self.at, self.at
+        while not self.stopping:
+            stalls = self.clock.stalls
+            now = self.clock.now()
+            if self.clock.stalls != stalls:
+                self.log.warning("stood still", stalls=self.clock.stalls, seconds=round(self.clock.stalled, 1))
+            if now - checked >= SECOND // 5:
+                checked = now
+                for session in self.sessions.lapsed(now):
+                    self.leave(session, "no poll within the time allowed")
+            due = bool(self.events) or bool(self.timers and self.timers[0][0] <= now) or now >= self.intake.next
+            due = due or (bool(self.intake.ready) and now - last_turn >= SECOND // 20)
+            if due and now - last_turn >= GAP:
+                self.turn(now)
+                last_turn = now
+            self._resync(now)
+            self._release(now)
+            wait = BEAT
+            if self.events:
+                wait = min(wait, (last_turn + GAP - now) / SECOND)
+            if self.timers:
+                wait = min(wait, (self.timers[0][0] - now) / SECOND)
+            if (leaves := self.channel.due()) is not None:
+                wait = min(wait, (leaves - now) / SECOND)
+            self.stir.clear()
+            self.stir.wait(max(0.0005, wait))
+
+    def stop(self) -> None:
+        self.stopping = True
+        self.stir.set()
+        for session in list(self.sessions.by_token.values()):
+            session.wake()
+
+    def turn(self, now: int) -> None:
+        begun = self.clock.monotonic()
+        self.at = now
+        events = sorted(self.events, key=lambda e: RANK[e[1]])
+        self.events.clear()
+        calls: list[list[Any]] = []
+        for came, what, about in events:
+            self.waits.record_value(max(1, (now - came) * 100))
+            self._event(now, what, about, calls)
+        for _what, number, at, it in self.intake.hand(now):
+            if isinstance(it, Met):
+                good = it.tries - it.failed
+                cost = round(it.good_time / good) if good else 0
+                call = ["heard", number, at, it.tries, it.failed, cost, it.ends - it.begins, it.gauges]
+                self._call(now, call, calls)
+            elif isinstance(it, Came):
+                self._call(now, ["arrived", number, at, it.came, it.lost], calls)
+        while self.timers and self.timers[0][0] <= now:
+            self._call(now, ["woken", heapq.heappop(self.timers)[2]], calls)
+        self._close(now, calls)
+        self.lengths.record_value(max(1, int((self.clock.monotonic() - begun) * 1e6)))
+
+    def _event(self, now: int, what: str, about: tuple[Any, ...], calls: list[list[Any]]) -> None:
+        if what == "applied":
+            message: Message = about[0]
+            self.applies.record_value(max(1, (now - message.ordered) * 100))
+            self._call(now, ["applied", message.mark], calls)
+        else:
+            self._call(now, [what, *about], calls)
+
+    def _call(self, now: int, call: list[Any], calls: list[list[Any]]) -> None:
+        calls.append(call)
+        put_to(self.decisions, now, call)
+
+    def _close(self, now: int, calls: list[list[Any]] | None = None) -> None:
+        """Gather what was ordered at this turn into one message for each proxy concerned."""
+        orders, mark = self.given.orders, self.given.mark_now
+        costs = self.publication.close()
+        head = self.terms.service.message_head + (mark >= 0)
+        for proxy, lines in costs.items():
+            self.channel.put(now, Message(proxy, self.publication.version, lines + head, now, mark, False))
+        for what, about in self.given.said:
+            self.log.info(what, version=self.publication.version, **about)
+        if self.record and calls is not None and (calls or orders):
+            self.record.write(json.dumps({"now": now, "calls": calls, "orders": orders}, default=_plain) + "\n")
+        self.given.orders, self.given.said, self.given.mark_now = [], [], -1
+
+    def _resync(self, now: int) -> None:
+        # Only where the channel has room: what can't wait comes first.
+        while self.resyncs and self.channel.backlog < 0.3 * self.terms.service.queue_limit:
+            session = self.resyncs.popleft()
+            if self.sessions.by_number.get(session.number) is session:
+                lines = self.publication.cost(session.number) + self.terms.service.message_head
+                self.channel.put(now, Message(session.number, self.publication.version, lines, now, -1, True))
+
+    def _release(self, now: int) -> None:
+        for message in self.channel.leave(now):
+            session = self.sessions.by_number.get(message.proxy)
+            if session is None:
+                continue
+            session.released = max(session.released, message.version)
+            if message.whole:
+                session.resync, session.whole_at = False, message.version
+            session.carried.append(message)
+            message.leaves = now
+            session.wake()
+
+
+def _plain(value: Any) -> Any:
+    return value.hex() if isinstance(value, bytes) else value
+
+
+def put_to(decisions: Any, now: int, call: list[Any]) -> None:
+    """One recorded call, on a director."""
+    what, *about = call
+    if what == "left":
+        decisions.left(*about)
+    elif what == "list_failed":
+        decisions.list_failed()
+    else:
+        getattr(decisions, what)(now, *about)
+
+
+class _Plainly:
+    """`Orders` that are only written down."""
+
+    def __init__(self) -> None:
+        self.orders: list[list[Any]] = []
+
+    def __getattr__(self, what: str) -> Callable[..., None]:
+        return lambda *about: self.orders.append([what, *map(_plain, about)])
+
+
+def replay(lines: Any, terms: ServiceTerms, decide: Decide) -> tuple[int, list[str]]:
+    """Put recorded turns to a fresh director: how many turns, and those whose orders differ from the record."""
+    differing: list[str] = []
+    turns = 0
+    orders, decisions = _Plainly(), None
+    for line in lines:
+        turn = json.loads(line)
+        orders.orders = []
+        if decisions is None:
+            decisions = decide(orders, terms, random.Random(turn["seed"]), turn["now"])
+        for call in turn.get("calls", ()):
+            put_to(decisions, turn["now"], _revive(call))
+        turns += 1
+        given = json.loads(json.dumps(orders.orders))
+        if given != turn["orders"]:
+            differing.append(f"turn {turns} at {turn['now']}: {given} in place of {turn['orders']}")
+    return turns, differing
+
+
+def _revive(call: list[Any]) -> list[Any]:
+    if call[0] == "listed":
+        return ["listed", [Listing(bytes.fromhex(row[0]), *row[1:]) for row in call[1]], *call[2:]]
+    if call[0] in ("heard", "probed"):
+        place = 2 if call[0] == "heard" else 1
+        return [*call[:place], bytes.fromhex(call[place]), *call[place + 1 :]]
+    return call
--- /dev/null
+++ b/ironfall/lab/others.py
@@ -0,0 +1,136 @@
+"""Other directors for the same harness: baselines to compare with, and wrong ones that the judge must catch.
+
+Each takes what `Director` takes and is called as it is. None is used outside the laboratory.
+"""
+
+import random
+from collections.abc import Iterable
+from typing import Any
+
+from ironfall.interface import Listing, Orders, ServiceTerms
+from ironfall.logic import Director
+
+EVERYONE = 65535
+
+
+class Even:
+    """One table of all ready hosts, alike, for all proxies; changes at once. Gauges and reports are passed over."""
+
+    def __init__(self, orders: Orders, terms: ServiceTerms, chance: random.Random, now: int) -> None:
+        self.orders, self.terms, self.now = orders, terms, now
+        self.ready: dict[bytes, bool] = {}
+        self.marks = 0
+        if terms.ask_for_list:
+            orders.watch_list()
+
+    def listed(self, now: int, entries: Iterable[Listing], whole: bool, fresh: bool) -> None:
+        entries = list(entries)
+        named = {e.host for e in entries}
+        states = {e.host: e.ready for e in entries}
+        if whole:
+            states.update({h: False for h in self.ready if h not in named})
+        for host, ready in states.items():
+            if ready != self.ready.get(host, False):
+                self.orders.set_line(0, host, float(ready))
+                self.orders.withdraw(host, not ready)
+            self.ready[host] = ready
+
+    def list_failed(self) -> None:
+        self.orders.wake(10_000, 1)
+
+    def joined(self, now: int, proxy: int, zone: int, rate: float) -> None:
+        self.orders.bind(proxy, 0, 0)
+
+    def woken(self, now: int, token: int) -> None:
+        if token:
+            self.orders.watch_list()
+
+    def left(self, proxy: int) -> None: ...
+    def applied(self, now: int, version: int) -> None: ...
+    def heard(self, now: int, *about: Any) -> None: ...
+    def arrived(self, now: int, *about: Any) -> None: ...
+    def probed(self, now: int, *about: Any) -> None: ...
+
+
+class HandsOff(Even):
+    """Standing tables stay; hosts that drain or are gone are withdrawn, and nothing else is ordered."""
+
+    def listed(self, now: int, entries: Iterable[Listing], whole: bool, fresh: bool) -> None:
+        entries = list(entries)
+        named = {e.host for e in entries}
+        states = {e.host: e.ready for e in entries}
+        if whole:
+            states.update({h: False for h in self.ready if h not in named})
+        for host, ready in states.items():
+            if ready != self.ready.get(host, True):
+                self.orders.withdraw(host, not ready)
+            self.ready[host] = ready
+
+    def joined(self, now: int, proxy: int, zone: int, rate: float) -> None:
+        for host, ready in self.ready.items():
+            if not ready:
+                self.orders.withdraw(host, True)
+
+
+class DeafToDrains(Even):
+    """Wrong: never takes out what drains or is gone."""
+
+    def listed(self, now: int, entries: Iterable[Listing], whole: bool, fresh: bool) -> None:
+        super().listed(now, [e for e in entries if e.ready], False, fresh)
+
+
+class Emptying(Even):
+    """Wrong: takes every host out as soon as one drains."""
+
+    def listed(self, now: int, entries: Iterable[Listing], whole: bool, fresh: bool) -> None:
+        entries = list(entries)
+        super().listed(now, entries, whole, fresh)
+        if any(not e.ready for e in entries):
+            for host in self.ready:
+                self.orders.withdraw(host, True)
+
+
+class RushingCold(Even):
+    """Wrong: gives a host that has just started nearly all there is."""
+
+    def listed(self, now: int, entries: Iterable[Listing], whole: bool, fresh: bool) -> None:
+        entries = list(entries)
+        super().listed(now, entries, whole, fresh)
+        for entry in entries:
+            if entry.ready and entry.started and now - entry.started < self.terms.cold_time:
+                self.orders.set_line(0, entry.host, 200.0)
+
+
+class Repeating(Even):
+    """Wrong: orders two more tries after any failure, for all classes."""
+
+    def joined(self, now: int, proxy: int, zone: int, rate: float) -> None:
+        super().joined(now, proxy, zone, rate)
+        self.orders.admit(EVERYONE, 0, 1.0, 3)
+
+
+class Flooding(Even):
+    """Wrong: sends every line to everyone, ten times a second."""
+
+    def __init__(self, orders: Orders, terms: ServiceTerms, chance: random.Random, now: int) -> None:
+        super().__init__(orders, terms, chance, now)
+        orders.wake(1_000, 0)
+        self.turn = 0
+
+    def woken(self, now: int, token: int) -> None:
+        super().woken(now, token)
+        if not token:
+            self.turn += 1
+            self.orders.wake(1_000, 0)
+            for host, ready in self.ready.items():
+                if ready:
+                    self.orders.set_line(0, host, 1.0 + self.turn % 2)
+
+
+DIRECTORS: dict[str, Any] = {
+    "ironfall": Director, "even": Even, "withdrawals-only": HandsOff, "deaf-to-drains": DeafToDrains,
+    "emptying": Emptying, "rushing-cold": RushingCold, "repeating": Repeating, "flooding": Flooding,
+}  # fmt: skip
+WRONG = {
+    "deaf-to-drains": "drains", "emptying": "bare", "rushing-cold": "cold", "repeating": "twice", "flooding": "queue",
+}  # fmt: skip
--- /dev/null
+++ b/ironfall/lab/play.py
@@ -0,0 +1,268 @@
+"""The conductor: sets up a day's processes, brings its troubles at their times, and has it judged."""
+
+import json
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import gevent
+from gevent.server import StreamServer
+
+from ironfall.lab.clients import rates
+from ironfall.lab.day import Day, Trouble, load, part_of
+from ironfall.lab.hosts import Fleet
+from ironfall.lab.judge import Judge, Verdict
+from ironfall.lab.registry import Registry
+from ironfall.lab.tape import SECOND, Tape, read
+from ironfall.lab.wires import Wire
+from ironfall.terms import Terms, read_terms
+
+COMES_UP = 20.0  # seconds that a process of the day may take to be there
+LAG_MOST = 0.25  # seconds: a day whose clients were later than that says more of this machine than of a director
+
+
+class NotPlayed(Exception):
+    """The day could not be played; the text says which part failed."""
+
+
+def terms_of(day: Day) -> Terms:
+    path = Path(day.file).parent / day.terms
+    return read_terms(str(path), path.read_text())
+
+
+def free_ports(count: int) -> list[int]:
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def serve_fleet(day: Day, terms: Terms, registry: tuple[str, int], control: tuple[str, int], tape: Tape,
+                seed: int) -> None:  # fmt: skip
+    """The process of hosts and registry; troubles come as lines of JSON on the control address."""
+    fleet = Fleet(day, terms, tape.teller, seed)
+    listing = Registry(registry, fleet, tape.teller("registry"))
+    fleet.start()
+    listing.start()
+
+    def command(sock: socket.socket, _address: Any) -> None:
+        with sock.makefile("rw") as lines:
+            for line in lines:
+                what, words, seconds = json.loads(line)
+                if what == "late":
+                    listing.late = seconds
+                else:
+                    fleet.trouble(what, words, seconds)
+                lines.write("ok\n")
+                lines.flush()
+
+    StreamServer(control, command).serve_forever()
+
+
+def until_told(tape: Tape | None, also: Callable[[], None] = lambda: None) -> None:
+    """Wait for SIGTERM or SIGINT, writing the tape out now and then."""
+    done = gevent.event.Event()
+    for which in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(which, done.set)
+    while not done.wait(0.5):
+        if tape:
+            tape.flush()
+    also()
+    if tape:
+        tape.flush()
+
+
+@dataclass
+class Played:
+    verdict: Verdict
+    folder: Path
+    events: list[tuple[float, str]]
+
+
+class Conductor:
+    def __init__(self, day: Day, folder: Path, director: str, seed: int, say: Callable[[str], None]) -> None:
+        self.day, self.folder, self.director, self.seed, self.say = day, folder, director, seed, say
+        self.terms = terms_of(day)
+        self.terms_file = Path(day.file).parent / day.terms
+        self.chance = random.Random(seed)
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+        self.wires: list[Wire] = []
+        folder.mkdir(parents=True, exist_ok=True)
+        for old in [*folder.glob("*.tape"), *folder.glob("*.log"), *folder.glob("*.turns")]:
+            old.unlink()
+
+    def _start(self, name: str, *words: str) -> None:
+        log = open(self.folder / f"{name}.log", "ab")
+        # Each a group of its own: an interrupt at the terminal is handed on by the conductor, in its order.
+        self.running[name] = subprocess.Popen([sys.executable, "-m", "ironfall", *words], stdout=log, stderr=log,
+                                              start_new_session=True)  # fmt: skip
+        log.close()
+
+    def _there(self, name: str, address: tuple[str, int]) -> None:
+        ends = time.monotonic() + COMES_UP
+        while time.monotonic() < ends:
+            try:
+                gevent.socket.create_connection(address, 0.5).close()
+                return
+            except OSError:
+                if self.running[name].poll() is not None:
+                    break
+                gevent.sleep(0.05)
+        raise NotPlayed(f"{name} did not come up; see {self.folder / name}.log")
+
+    def play(self) -> Played:
+        try:
+            return self._play()
+        finally:
+            self._end()
+
+    def _play(self) -> Played:
+        day = self.day
+        ports = free_ports(2 + len(day.directors) + len(day.proxies))
+        registry, self.control = ("127.0.0.1", ports[0]), ("127.0.0.1", ports[1])
+        self.director_at = {name: ("127.0.0.1", ports[2 + n]) for n, (name, _) in enumerate(day.directors)}
+        proxies = {name: ("127.0.0.1", ports[2 + len(day.directors) + n]) for n, (name, _) in enumerate(day.proxies)}
+        self.registry = registry
+        self._start("hosts", "lab", "hosts", day.file, "--registry", _text(registry), "--control", _text(self.control),
+                    "--tape", str(self.folder / "hosts.tape"), "--seed", str(self.seed))  # fmt: skip
+        for name, _ in day.directors:
+            self._start_director(name)
+        self._there("hosts", self.control)
+        for name, _ in day.directors:
+            self._there(name, self.director_at[name])
+        named = {}
+        for zone in sorted({z for _, z in day.proxies}):
+            dials = []
+            for name, own in day.directors:
+                wire = Wire(self.director_at[name], (zone, own))
+                self.wires.append(wire)
+                dials += ["--director", f"127.0.0.1:{wire.port}"]
+                named[f"127.0.0.1:{wire.port}"] = name
+            asked = rates(day, self.seed)
+            own_words = []
+            for n, (name, place) in enumerate(day.proxies):
+                if place == zone:
+                    first = n % len(day.directors)
+                    own_words += ["--as", f"{name},{zone},{asked[n]:.3f},{_text(proxies[name])},{first}"]
+            tape = str(self.folder / f"proxies-{zone}.tape")
+            self._start(f"proxies-{zone}", "proxy", str(self.terms_file), *own_words, *dials, "--registry",
+                        _text(registry), "--tape", tape, "--seed", str(self.seed))  # fmt: skip
+        for name, zone in day.proxies:
+            self._there(f"proxies-{zone}", proxies[name])
+        starts = time.monotonic() + 1.5
+        to = [word for address in proxies.values() for word in ("--proxy", _text(address))]
+        self._start("clients", "lab", "clients", day.file, "--starts", str(starts), "--seed", str(self.seed), "--tape",
+                    str(self.folder / "clients.tape"), *to)  # fmt: skip
+        events = self._troubles(starts)
+        # Clients end by themselves: the longest abandon time after the last exchange.
+        self._wait_clients(starts)
+        self._end()
+        meta = {"starts": int(starts * SECOND), "directors": named, "day": day.file, "seed": self.seed,
+                "director": self.director}  # fmt: skip
+        (self.folder / "meta.json").write_text(json.dumps(meta))
+        return Played(judge(day, self.terms, self.folder, meta), self.folder, events)
+
+    def _start_director(self, name: str) -> None:
+        zone = dict(self.day.directors)[name]
+        self.starts_of = getattr(self, "starts_of", {})
+        count = self.starts_of[name] = self.starts_of.get(name, 0) + 1
+        seed = self.seed * 1000 + sorted(self.director_at).index(name) * 100 + count
+        self._start(name, "--log", "json", "lab", "director", str(self.terms_file), "--as", self.director, "--listen",
+                    _text(self.director_at[name]), "--registry", _text(self.registry), "--name", name, "--zone", zone,
+                    "--seed", str(seed), "--record", str(self.folder / f"{name}-{count}.turns"))  # fmt: skip
+
+    def _troubles(self, starts: float) -> list[tuple[float, str]]:
+        events = []
+        for trouble in self.day.troubles:
+            gevent.sleep(max(0.0, starts + trouble.at - time.monotonic()))
+            text = " ".join([trouble.what, *trouble.words]) + (f" for {trouble.seconds:g}s" if trouble.seconds else "")
+            self.say(f"{trouble.at:5.1f}s {text}")
+            events.append((trouble.at, text))
+            self._bring(trouble)
+        return events
+
+    def _bring(self, trouble: Trouble) -> None:
+        what, words, seconds = trouble.what, trouble.words, trouble.seconds
+        if what == "kill":
+            self._signal(words[0], signal.SIGKILL)
+            self.running[words[0]].wait()
+            gevent.spawn_later(seconds, self._start_director, words[0])
+        elif what == "stop":
+            self._signal(words[0], signal.SIGSTOP)
+            gevent.spawn_later(seconds, self._signal, words[0], signal.SIGCONT)
+        elif what == "break":
+            for wire in self.wires:
+                wire.drop(part_of(words[0]), self.chance)
+        elif what == "late":
+            self._command("late", [], float(words[0].rstrip("s")))
+            gevent.spawn_later(seconds, self._command, "late", [], 0.0)
+        else:
+            if what == "cut":
+                across = [w for w in self.wires if words[0] in w.zones and w.zones[0] != w.zones[1]]
+                for wire in across:
+                    wire.cut()
+                    gevent.spawn_later(seconds, wire.heal)
+            self._command(what, list(words), seconds)
+
+    def _signal(self, name: str, which: signal.Signals) -> None:
+        process = self.running[name]
+        if process.poll() is None:
+            process.send_signal(which)
+
+    def _command(self, what: str, words: list[str], seconds: float) -> None:
+        with gevent.socket.create_connection(self.control, 2.0) as sock, sock.makefile("rw") as lines:
+            lines.write(json.dumps([what, words, seconds]) + "\n")
+            lines.flush()
+            if lines.readline() != "ok\n":
+                raise NotPlayed(f"the hosts did not take {what} {' '.join(words)}; see {self.folder}/hosts.log")
+
+    def _wait_clients(self, starts: float) -> None:
+        longest = max(c.abandon_time for c in self.terms.service.classes) / SECOND
+        ends = starts + self.day.length + longest + 10
+        while self.running["clients"].poll() is None:
+            if time.monotonic() > ends:
+                raise NotPlayed("the clients did not end")
+            gevent.sleep(0.1)
+        if self.running["clients"].returncode:
+            raise NotPlayed(f"the clients failed; see {self.folder}/clients.log")
+        for name, process in self.running.items():
+            if name != "clients" and process.poll() is not None:
+                raise NotPlayed(f"{name} ended on its own with {process.returncode}; see {self.folder}/{name}.log")
+
+    def _end(self) -> None:
+        for process in self.running.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for process in self.running.values():
+            try:
+                process.wait(5)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+def judge(day: Day, terms: Terms, folder: Path, meta: dict[str, Any]) -> Verdict:
+    judging = Judge(day, terms, meta)
+    judging.read(read(*sorted(folder.glob("*.tape"))))
+    return judging.verdict()
+
+
+def judge_folder(folder: Path) -> Verdict:
+    meta = json.loads((folder / "meta.json").read_text())
+    day = load(meta["day"])
+    return judge(day, terms_of(day), folder, meta)
+
+
+def _text(address: tuple[str, int]) -> str:
+    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/ironfall/proxy/program.py
@@ -0,0 +1,197 @@
+"""The proxy as a program: exchanges in from clients, out to hosts, answers back."""
+
+import json
+import random
+import socket
+import time
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent.event import AsyncResult
+from gevent.server import StreamServer
+
+from ironfall.api.exchange import Link, Outbox, frame, frames, read_gauges
+from ironfall.api.http import HttpClient
+from ironfall.generated import ironfall_pb2 as pb
+from ironfall.proxy.follow import Follower
+from ironfall.proxy.hosts import Hosts
+from ironfall.proxy.picking import Picking, may_try_again
+from ironfall.proxy.sums import Gathered
+from ironfall.publication import MILLION, Holding
+from ironfall.terms import Terms
+
+SECOND = 10_000
+IN_HAND_MOST = 20_000  # exchanges at once; more are refused at once
+STANDING_TRIES = 30
+
+
+def now() -> int:
+    return int(time.monotonic() * SECOND)
+
+
+def quiet(_what: str, **_about: Any) -> None:
+    pass
+
+
+class Proxy:
+    def __init__(self, terms: Terms, name: str, zone: str, rate: float, listen: tuple[str, int],
+                 directors: list[tuple[str, int]], seed: int, tell: Callable[..., None] = quiet,
+                 standing: dict[str, int] | None = None) -> None:  # fmt: skip
+        self.terms, self.name, self.zone, self.tell = terms, name, zone, tell
+        self.chance = random.Random(seed)
+        standing = self._standing() if standing is None else standing
+        self.holding = Holding(len(terms.classes), standing)
+        self.picking = Picking(self.holding, terms.proxy, self.chance)
+        self.gathered = Gathered(now(), len(terms.classes))
+        self.hosts = Hosts(pb.Hello(who=name, zone=zone), terms.proxy.connect_time / SECOND, terms.proxy.streams)
+        self.follower = Follower(name, zone, rate, directors, self.holding, self.gathered, now, self.chance,
+                                 self._changed, tell)  # fmt: skip
+        self.in_hand = 0
+        self.served = 0
+        self.server = StreamServer(listen, self._client, backlog=256)
+        tell("starts", zone=zone, standing=standing)
+
+    def start(self, first: int = 0) -> None:
+        self.server.start()
+        self.follower.start(first)
+
+    def stop(self) -> None:
+        self.follower.stop()
+        self.server.stop(0.2)
+
+    def _standing(self) -> dict[str, int]:
+        """A few hosts of the list, in the proxy's own zone where three are there; the list is read no more."""
+        client = HttpClient(self.terms.registry)
+        for attempt in range(STANDING_TRIES):
+            try:
+                answer = client.call("GET", f"/v1/list?after=-1&wait_ms=0&who={self.name}", 2.0)
+                rows = [row for row in json.loads(answer.body)["hosts"] if row["state"] == "ready"]
+                if rows:
+                    break
+            except (OSError, ValueError, KeyError, TypeError):
+                pass
+            gevent.sleep(min(2.0, 0.1 * 1.5**attempt) * (0.5 + self.chance.random()))
+        else:
+            raise ConnectionError("the list of hosts can't be had to start with")
+        home = [row for row in rows if row["zone"] == self.zone]
+        rows = home if len(home) >= 3 else rows
+        drawn = self.chance.sample(rows, min(len(rows), self.terms.proxy.standing))
+        return {f"{row['name']}@{row['address']}": MILLION for row in drawn}
+
+    def _changed(self) -> None:
+        self.picking.changed()
+        self.hosts.keep(self.holding.named())
+
+    # from clients
+
+    def _client(self, sock: socket.socket, _address: tuple[str, int]) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        outbox = Outbox(sock, 20_000)
+        running: dict[int, gevent.Greenlet] = {}
+        try:
+            for one in frames(sock):
+                what = one.WhichOneof("what")
+                if what == "exchange" and one.exchange.kind < len(self.terms.classes):
+                    number = one.exchange.id
+                    if self.in_hand >= IN_HAND_MOST:
+                        outbox.put(frame(answer=pb.Answer(id=number, outcome=pb.REFUSED, cause="too many in hand")))
+                        continue
+                    running[number] = gevent.spawn(self._serve, one.exchange, outbox, running)
+                elif what == "exchange":
+                    refusal = pb.Answer(id=one.exchange.id, outcome=pb.REFUSED, cause="unknown class")
+                    outbox.put(frame(answer=refusal))
+                elif what == "cancel" and one.cancel.id in running:
+                    running.pop(one.cancel.id).kill(block=False)
+        except OSError:
+            pass
+        finally:
+            # A client that is gone has given up on all it had in hand.
+            gevent.killall(list(running.values()), block=False)
+            outbox.close()
+            sock.close()
+
+    def _serve(self, exchange: pb.Exchange, outbox: Outbox, running: dict[int, gevent.Greenlet]) -> None:
+        self.in_hand += 1
+        number, kind = exchange.id, exchange.kind
+        came = self.gathered.came[kind]
+        came[0] += 1
+        lost = True
+        try:
+            answer = self._exchange(exchange)
+            lost = answer.outcome == pb.FAILED
+            answer.id = number
+            outbox.put(frame(answer=answer))
+        finally:
+            self.in_hand -= 1
+            self.served += 1
+            running.pop(number, None)
+            # The sums may have been cut since: what is lost now is lost in the present ones.
+            self.gathered.came[kind][1] += lost
+
+    def _exchange(self, exchange: pb.Exchange) -> pb.Answer:
+        kind, terms = exchange.kind, self.terms.service.classes[exchange.kind]
+        level, way = self.holding.admitted(kind, self.terms.proxy.usual_tries)
+        if level < 1 and self.chance.random() >= level:
+            self.gathered.came[kind][2] += 1
+            return pb.Answer(outcome=pb.REFUSED, cause="not let in")
+        ends = now() + min(exchange.left_ms * 10, terms.abandon_time)
+        passed: set[str] = set()
+        first_ran, never_ran = 0, True
+        while True:
+            host = self.picking.pick(now(), kind, frozenset(passed))
+            if host is None:
+                if not passed:
+                    self.gathered.came[kind][3] += 1
+                    self.tell("bare", kind=kind)
+                    return pb.Answer(outcome=pb.REFUSED, cause="no host to pick")
+                break
+            passed.add(host)
+            left, begun = ends - now(), now()
+            if left <= 0:
+                break
+            if way >= 2 and may_try_again(terms, way, len(passed), False, 0, 0):
+                left = min(left, round(self.terms.proxy.try_share * terms.expected_time))
+            outcome, cause = self._try(host, exchange, len(passed), left)
+            if outcome == pb.FULFILLED:
+                return pb.Answer(outcome=pb.FULFILLED)
+            if outcome == pb.FAILED:
+                never_ran, first_ran = False, first_ran or begun
+            since = now() - first_ran if first_ran else 0
+            margin = self.terms.proxy.connect_time
+            if not may_try_again(terms, way, len(passed), never_ran, since, margin):
+                return pb.Answer(outcome=pb.REFUSED if never_ran else pb.FAILED, cause=cause)
+        return pb.Answer(outcome=pb.REFUSED if never_ran else pb.FAILED, cause="no time or host left")
+
+    def _try(self, host: str, exchange: pb.Exchange, attempt: int, left: int) -> tuple[int, str]:
+        """One try at one host: its outcome, and why. What is given up on is called off at the host at once."""
+        begun, good, gauges = now(), False, {}  # type: int, bool, dict[str, float]
+        link: Link | None = None
+        number, outcome, cause = 0, pb.FAILED, "given up by the client"
+        try:
+            link = self.hosts.link(host)
+            if link is None:
+                outcome, cause = pb.REFUSED, "no connection"
+                return outcome, cause
+            self.tell("try", token=exchange.token, kind=exchange.kind, host=host, attempt=attempt)
+            sent = pb.Exchange(kind=exchange.kind, token=exchange.token, key=exchange.key, attempt=attempt,
+                               left_ms=max(1, left // 10), host=host, client_try=exchange.client_try)  # fmt: skip
+            call: AsyncResult = link.send("exchange", sent)
+            number = link.last
+            try:
+                answer = call.get(timeout=max(0.001, (left - (now() - begun)) / SECOND))
+            except gevent.Timeout:
+                cause = "no answer in time"
+                return outcome, cause
+            number = 0
+            if answer is None:
+                cause = "connection lost"
+                return outcome, cause
+            outcome, cause, gauges = answer.outcome, answer.cause, read_gauges(answer.gauges)
+            good = outcome == pb.FULFILLED
+            return outcome, cause
+        finally:
+            if link is not None and number:
+                link.cancel(number)
+            self.gathered.tried(host, good, now() - begun, gauges)
+            self.picking.ended(now(), host, good)
--- /dev/null
+++ b/tests/test_publication.py
@@ -0,0 +1,143 @@
+"""Whatever is ordered, lost, repeated or stale: a proxy ends with the publisher's state, or knows that it differs."""
+
+import copy
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ironfall.publication import Holding, Outcome, Publication
+
+HOSTS = [f"h{n}@127.0.0.1:{n}" for n in range(4)]
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("line"), st.integers(0, 2), st.sampled_from(HOSTS), st.sampled_from([0.0, 0.5, 2.0])),
+        st.tuples(st.just("out"), st.sampled_from(HOSTS), st.booleans()),
+        st.tuples(st.just("admit"), st.integers(0, 3), st.sampled_from([0.0, 0.25, 1.0]), st.integers(0, 3)),
+        st.tuples(st.just("bind"), st.integers(0, 1), st.integers(0, 2), st.integers(0, 3)),
+        st.tuples(st.just("close")),
+        st.tuples(st.just("fetch"), st.integers(0, 1), st.sampled_from(["take", "lose", "twice", "old"])),
+        st.tuples(st.just("rejoin"), st.integers(0, 1)),
+        st.tuples(st.just("restart")),
+    ),
+    max_size=60,
+)
+
+
+def fetch(publication, proxy, holding):
+    start = holding.version if publication.reaches(holding.version, publication.version) else -1
+    return publication.delta(proxy, start, publication.version)
+
+
+def truth(publication, proxy, kind):
+    table = publication.views[proxy].binds(publication.version).get(kind)
+    lines = publication.tables.get(table, {})
+    return {h: w for h, w in lines.items() if h not in publication.outs}
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(STEPS, st.integers(1, 6))
+def test_any_order_of_trouble_ends_alike(steps, versions):
+    publication, epoch = Publication(1, 2, versions, 12), 1
+    holdings = [Holding(2, {HOSTS[0]: 1}) for _ in range(2)]
+    late = [None, None]
+    for proxy, holding in enumerate(holdings):
+        holding.join(1, publication.join(proxy))
+    for what, *rest in steps:
+        if what == "line":
+            publication.set_line(*rest)
+        elif what == "out":
+            publication.withdraw(*rest)
+        elif what == "admit":
+            publication.admit(*rest)
+        elif what == "bind":
+            publication.bind(*rest)
+        elif what == "close":
+            publication.close()
+        elif what == "rejoin":
+            holdings[rest[0]].join(epoch, publication.join(rest[0]))
+        elif what == "restart":
+            epoch += 1
+            publication = Publication(epoch, 2, versions, 12)
+            for proxy, holding in enumerate(holdings):
+                holding.join(epoch, publication.join(proxy))
+        elif publication.version:
+            proxy, how = rest
+            holding = holdings[proxy]
+            publication.close()
+            delta = copy.deepcopy(fetch(publication, proxy, holding))
+            if how == "old" and late[proxy]:
+                held = copy.deepcopy(vars(holding))
+                outcome = holding.apply(late[proxy])
+                assert outcome is not Outcome.DIFFERS
+                if outcome is not Outcome.APPLIED:
+                    assert vars(holding) == held
+            elif how != "lose":
+                assert holding.apply(delta) in (Outcome.APPLIED, Outcome.REPEATED)
+                if how == "twice":
+                    held = copy.deepcopy(vars(holding))
+                    holding.apply(delta)
+                    assert vars(holding) == held
+            late[proxy] = delta
+    publication.close()
+    for proxy, holding in enumerate(holdings):
+        holding.apply(fetch(publication, proxy, holding))
+        for kind in holding.binds:
+            assert holding.lines(kind) == truth(publication, proxy, kind)
+            assert holding.outs == set(publication.outs)
+        assert holding.binds == publication.views[proxy].binds(publication.version)
+
+
+def test_what_waits_in_the_channel_is_not_told_yet():
+    """A delta to a version that has left the channel must not carry what was ordered after it."""
+    publication, holding = Publication(1, 1), Holding(1, {})
+    holding.join(1, publication.join(0))
+    publication.set_line(0, HOSTS[0], 1.0)
+    publication.bind(0, 0, 0)
+    publication.close()
+    publication.set_line(0, HOSTS[1], 1.0)
+    publication.withdraw(HOSTS[0], True)
+    publication.close()
+    assert holding.apply(publication.delta(0, 0, 1)) is Outcome.APPLIED
+    assert list(holding.lines(0)) == [HOSTS[0]]
+    assert holding.apply(publication.delta(0, 1, 2)) is Outcome.APPLIED
+    assert list(holding.lines(0)) == [HOSTS[1]]
+
+
+def test_a_garbled_delta_changes_nothing():
+    publication, holding = Publication(1, 1), Holding(1, {HOSTS[0]: 1})
+    holding.join(1, publication.join(0))
+    publication.set_line(0, HOSTS[1], 1.0)
+    publication.bind(0, 0, 0)
+    publication.close()
+    delta = copy.deepcopy(publication.delta(0, 0, 1))
+    delta.lines[0] = (0, HOSTS[1], 7)
+    assert holding.apply(delta) is Outcome.DIFFERS
+    assert list(holding.lines(0)) == [HOSTS[0]]
+
+
+def test_one_changed_line_costs_the_same_in_a_table_of_any_size():
+    for size in (30, 1_000):
+        publication = Publication(1, 1)
+        publication.join(0)
+        for n in range(size):
+            publication.set_line(0, f"h{n}", 1.0)
+        publication.bind(0, 0, 0)
+        publication.close()
+        publication.set_line(0, "h7", 2.0)
+        assert publication.close() == {0: 1}
+        assert publication.delta(0, 1, 2).size == 1
+
+
+def test_an_unbound_joiner_keeps_its_withdrawal_when_the_history_is_compacted():
+    """Told from the history alone it would lose the withdrawal, and send to a host that drains."""
+    publication, holding = Publication(1, 1, versions=2), Holding(1, {HOSTS[0]: 1, HOSTS[1]: 1})
+    holding.join(1, publication.join(0))
+    publication.withdraw(HOSTS[0], True)
+    publication.close()
+    assert holding.apply(publication.delta(0, 0, 1)) is Outcome.APPLIED
+    for n in range(5):
+        publication.set_line(0, HOSTS[2], 1.0 + n)
+        publication.close()
+    assert not publication.reaches(1, publication.version)
+    assert holding.apply(publication.delta(0, -1, publication.version)) is Outcome.APPLIED
+    assert list(holding.lines(0)) == [HOSTS[1]]
