Let the judge catch five wrong directors, each by the rule that it breaks

Need: a rule that can't be seen to fail says nothing. The first plays caught one of five: wires cut held polls after their own connect time, the judge knew a proxy as joined only up to its last answered poll, and proxies saved a director that orders unsafe tries from itself.

--- a/ironfall/lab/judge.py
+++ b/ironfall/lab/judge.py
@@ -155,6 +155,14 @@
     def _on_still(self, t: int, row: dict[str, Any]) -> None:
         self._contact(t, row, self.proxies[row["who"]])
 
+    def _on_session_ended(self, t: int, row: dict[str, Any]) -> None:
+        self._contact(t, row, self.proxies[row["who"]])
+
+    def _on_cut(self, t: int, row: dict[str, Any]) -> None:
+        # A connection that was closed was there until then; one that went silent may have been cut long before.
+        if row["closed"]:
+            self._contact(t, row, self.proxies[row["who"]])
+
     def _contact(self, t: int, row: dict[str, Any], tape: ProxyTape) -> None:
         last = tape.stretches[-1]
         if row["sent"] - last.ends <= SLACK:
--- a/ironfall/lab/play.py
+++ b/ironfall/lab/play.py
@@ -155,7 +155,7 @@
                     first = n % len(day.directors)
                     own_words += ["--as", f"{name},{zone},{asked[n]:.3f},{_text(proxies[name])},{first}"]
             tape = str(self.folder / f"proxies-{zone}.tape")
-            self._start(f"proxies-{zone}", "proxy", str(self.terms_file), *own_words, *dials, "--registry",
+            self._start(f"proxies-{zone}", "proxy", str(self._proxy_terms()), *own_words, *dials, "--registry",
                         _text(registry), "--tape", tape, "--seed", str(self.seed))  # fmt: skip
         for name, zone in day.proxies:
             self._there(f"proxies-{zone}", proxies[name])
@@ -181,6 +181,15 @@
                     _text(self.director_at[name]), "--registry", _text(self.registry), "--name", name, "--zone", zone,
                     "--seed", str(seed), "--record", str(self.folder / f"{name}-{count}.turns"))  # fmt: skip
 
+    def _proxy_terms(self) -> Path:
+        """The terms proxies go by. A proxy asks them before it tries again, whatever was ordered: to see the judge
+        catch a director that orders what is not safe, its proxies must believe that all is."""
+        if self.director != "repeating":
+            return self.terms_file
+        trusting = self.folder / "trusting.sexp"
+        trusting.write_text(self.terms_file.read_text().replace("(repeatable never)", "(repeatable always)"))
+        return trusting
+
     def _troubles(self, starts: float) -> list[tuple[float, str]]:
         events = []
         for trouble in self.day.troubles:
@@ -240,10 +249,13 @@
                 raise NotPlayed(f"{name} ended on its own with {process.returncode}; see {self.folder}/{name}.log")
 
     def _end(self) -> None:
-        for process in self.running.values():
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.terminate()
+        # Directors first: the polls that they let go tell the tape that their proxies were joined until now.
+        for names in (set(dict(self.day.directors)), set(self.running)):
+            for name in sorted(names & set(self.running)):
+                if self.running[name].poll() is None:
+                    self.running[name].send_signal(signal.SIGCONT)
+                    self.running[name].terminate()
+            gevent.sleep(0.5)
         for process in self.running.values():
             try:
                 process.wait(5)
--- a/ironfall/lab/wires.py
+++ b/ironfall/lab/wires.py
@@ -12,6 +12,7 @@
 class Wire:
     def __init__(self, to: tuple[str, int], zones: tuple[str, str], listen: tuple[str, int] = ("127.0.0.1", 0)) -> None:
         self.to, self.zones = to, zones
+        self.open = True
         self.flows = Event()
         self.flows.set()
         self.pairs: set[tuple[socket.socket, socket.socket]] = set()
@@ -22,10 +23,13 @@
     def _serve(self, near: socket.socket, _address: Any) -> None:
         try:
             self.flows.wait()
+            if not self.open:
+                raise ConnectionRefusedError("cut")
             far = gevent.socket.create_connection(self.to, 2.0)
         except OSError:
             near.close()
             return
+        far.settimeout(None)  # the time to connect is not one to wait for the next bytes
         pair = (near, far)
         self.pairs.add(pair)
         for sock in pair:
@@ -51,10 +55,16 @@
                 pass
 
     def cut(self) -> None:
+        """Streams across break, and none comes up until `heal`."""
+        self.open = False
+        self.drop(1.0, random.Random(0))
+
+    def hold(self) -> None:
         """Nothing passes, and nobody is told, until `heal`."""
         self.flows.clear()
 
     def heal(self) -> None:
+        self.open = True
         self.flows.set()
 
     def drop(self, part: float, chance: random.Random) -> int:
--- a/ironfall/proxy/follow.py
+++ b/ironfall/proxy/follow.py
@@ -110,7 +110,8 @@
                 answer = self._call(client, "GET", path, self.session.wait_ms / 1000 + ANSWER_TIME)
                 state = self._read(pb.State, answer) if answer.status == 200 else None
             except OSError as cause:
-                self.tell("cut", director=self.address, sent=sent, cause=str(cause))
+                closed = isinstance(cause, ConnectionError)  # the peer's own word, unlike a time that ran out
+                self.tell("cut", director=self.address, sent=sent, cause=str(cause), closed=closed)
                 cuts += 1
                 if cuts > SAME_AGAIN:
                     return False
@@ -129,7 +130,7 @@
                 self.changed()
                 self.tell("told", director=self.address, sent=sent, state=state, outcome=outcome.value)
             else:
-                self.tell("ended", director=self.address, sent=sent, status=answer.status)
+                self.tell("session ended", director=self.address, sent=sent, status=answer.status)
                 self.count(f"poll refused {answer.status}")
                 if answer.status == 429:
                     gevent.sleep(1 + self.chance.random())
