--- a/ironfall/api/http.py
+++ b/ironfall/api/http.py
@@ -7,6 +7,7 @@
 
 import errno
 import socket
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from urllib.parse import parse_qsl
@@ -24,6 +25,7 @@
     503: "Service Unavailable",
 }  # fmt: skip
 HEADERS_MOST = 16 * 1024
+AHEAD_MOST = 256  # requests of one connection that wait for the answers before theirs
 CHUNK = 64 * 1024
 
 
@@ -60,44 +62,14 @@
 class Request:
     """One request as it is read off the connection."""
 
-    def __init__(self, sock: socket.socket, body_most: int) -> None:
-        self.sock, self.body_most = sock, body_most
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
         self.method, self.path, self.query = "", "", {}  # type: str, str, dict[str, str]
         self.headers: dict[str, str] = {}
         self.body = bytearray()
-        self.whole = False
+        self.keep = True
         self.size = 0
 
-    # httptools' callbacks
-
-    def on_url(self, url: bytes) -> None:
-        path, _, query = url.decode("latin-1").partition("?")
-        self.path += path
-        self.query.update(parse_qsl(query, max_num_fields=32))
-        self._grown(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
-        self._grown(len(name) + len(value))
-
-    def _grown(self, more: int) -> None:
-        self.size += more
-        if self.size > HEADERS_MOST:
-            raise Refused(431, f"request line and headers are over {HEADERS_MOST} bytes")
-
-    def on_headers_complete(self) -> None:
-        length = self.headers.get("content-length", "0")
-        if length.isdigit() and int(length) > self.body_most:
-            raise Refused(413, f"a body of {length} bytes is over the limit of {self.body_most}")
-
-    def on_body(self, body: bytes) -> None:
-        self.body += body
-        if len(self.body) > self.body_most:
-            raise Refused(413, f"the body is over the limit of {self.body_most} bytes")
-
-    def on_message_complete(self) -> None:
-        self.whole = True
-
     # for handlers
 
     def number(self, name: str, usual: int | None = None) -> int:
@@ -139,6 +111,53 @@
             raise Gone from None
 
 
+class _Incoming:
+    """What httptools calls as bytes come in: requests, one after another, those sent ahead waiting their turn."""
+
+    def __init__(self, sock: socket.socket, body_most: int) -> None:
+        self.sock, self.body_most = sock, body_most
+        self.parser = httptools.HttpRequestParser(self)
+        self.ready: deque[Request] = deque()
+        self.request = Request(sock)
+        self.begun = False
+
+    def on_message_begin(self) -> None:
+        self.request, self.begun = Request(self.sock), True
+
+    def on_url(self, url: bytes) -> None:
+        path, _, query = url.decode("latin-1").partition("?")
+        self.request.path += path
+        self.request.query.update(parse_qsl(query, max_num_fields=32))
+        self._grown(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.request.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        self._grown(len(name) + len(value))
+
+    def _grown(self, more: int) -> None:
+        self.request.size += more
+        if self.request.size > HEADERS_MOST:
+            raise Refused(431, f"request line and headers are over {HEADERS_MOST} bytes")
+
+    def on_headers_complete(self) -> None:
+        length = self.request.headers.get("content-length", "0")
+        if length.isdigit() and int(length) > self.body_most:
+            raise Refused(413, f"a body of {length} bytes is over the limit of {self.body_most}")
+
+    def on_body(self, body: bytes) -> None:
+        self.request.body += body
+        if len(self.request.body) > self.body_most:
+            raise Refused(413, f"the body is over the limit of {self.body_most} bytes")
+
+    def on_message_complete(self) -> None:
+        self.request.method = self.parser.get_method().decode()
+        self.request.keep = self.parser.should_keep_alive()
+        self.ready.append(self.request)
+        self.begun = False
+        if len(self.ready) > AHEAD_MOST:
+            raise Refused(429, f"more than {AHEAD_MOST} requests were sent ahead of their answers", 1)
+
+
 class HttpServer:
     """Serves `handle(request) -> Answer` on a listening socket."""
 
@@ -171,7 +190,8 @@
                 self._count("connections")
                 self._send(sock, _plain(Refused(503, "too many connections", 1)), False)
             else:
-                while self._one(sock):
+                incoming = _Incoming(sock, self.bounds.body)
+                while self._one(sock, incoming):
                     pass
         except (OSError, Gone):
             pass
@@ -179,29 +199,16 @@
             self.open -= 1
             sock.close()
 
-    def _one(self, sock: socket.socket) -> bool:
+    def _one(self, sock: socket.socket, incoming: _Incoming) -> bool:
         """Read and answer one request; whether the connection goes on."""
-        request = Request(sock, self.bounds.body)
-        parser = httptools.HttpRequestParser(request)
         keep = False
         try:
-            sock.settimeout(self.bounds.idle)
-            data = sock.recv(CHUNK)
-            if not data:
+            if not incoming.ready and not self._read(sock, incoming):
                 return False
-            with Timeout(self.bounds.request_time, Refused(408, "the request took too long to come in")):
-                while True:
-                    parser.feed_data(data)
-                    if request.whole:
-                        break
-                    data = sock.recv(CHUNK)
-                    if not data:
-                        return False
-            request.method = parser.get_method().decode()
-            keep = parser.should_keep_alive()
+            request = incoming.ready.popleft()
+            keep = request.keep
             answer = self.handle(request)
         except Refused as refused:
-            keep = keep and request.whole
             self._count(str(refused.status))
             answer = _plain(refused)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as wrong:
@@ -209,9 +216,25 @@
             told = cause if isinstance(cause, Refused) else Refused(400, f"malformed HTTP: {wrong}")
             self._count(str(told.status))
             answer, keep = _plain(told), False
+        return self._send(sock, answer, keep) and keep
+
+    def _read(self, sock: socket.socket, incoming: _Incoming) -> bool:
+        """Until a request is whole; False when the peer is done or idle."""
+        sock.settimeout(self.bounds.idle)
+        try:
+            data = b"" if incoming.begun else sock.recv(CHUNK)
         except TimeoutError:
             return False
-        return self._send(sock, answer, keep) and keep
+        if not data and not incoming.begun:
+            return False
+        with Timeout(self.bounds.request_time, Refused(408, "the request took too long to come in")):
+            while True:
+                incoming.parser.feed_data(data)
+                if incoming.ready:
+                    return True
+                data = sock.recv(CHUNK)
+                if not data:
+                    return False
 
     def _send(self, sock: socket.socket, answer: Answer, keep: bool) -> bool:
         lines = [f"HTTP/1.1 {answer.status} {REASONS.get(answer.status, 'Other')}"]
--- /dev/null
+++ b/tests/test_director.py
@@ -0,0 +1,211 @@
+"""A live director on loopback, and peers that are stale, greedy, slow, or wrong: each bounded, the others unharmed."""
+
+import copy
+import json
+
+import gevent
+from gevent import socket
+
+from ironfall.api import codec
+from ironfall.api.http import HttpClient
+from ironfall.generated import ironfall_pb2 as pb
+from ironfall.publication import Holding, Outcome
+from tests.rig import Peer, Rig, raw, until
+
+
+def follow(peer, holding, seconds=6.0):
+    """Poll and apply until every class is bound."""
+    with gevent.Timeout(seconds, AssertionError("never bound")):
+        while len(holding.binds) < holding.classes:
+            status, state = peer.poll(version=holding.version)
+            if state is not None:
+                assert holding.apply(state) is Outcome.APPLIED
+            assert status in (200, 204)
+    # A poll is the receipt of what came before it: without one the channel is thought to be full.
+    status, state = peer.poll(version=holding.version, wait_ms=1)
+    if state is not None:
+        holding.apply(state)
+
+
+def bound(rig, name="p1", zone="harbour"):
+    peer, holding = rig.peer(name, zone), Holding(3, {})
+    holding.join(peer.joined.epoch, peer.joined.version)
+    follow(peer, holding)
+    return peer, holding
+
+
+def test_a_joiner_is_bound_and_told_of_a_drain_at_once():
+    with Rig() as rig:
+        peer, holding = bound(rig)
+        assert len(holding.lines(0)) >= 2
+        rows = copy.deepcopy(rig.registry.rows)
+        rows[0]["state"] = "draining"
+        rig.registry.set(rows)
+        until(lambda: any(h.startswith("h0@") for h in rig.live.publication.outs))
+        until(lambda: holding.apply(peer.poll(version=holding.version)[1]) and any("h0@" in h for h in holding.outs))
+        assert not any(h.startswith("h0@") for h in holding.lines(0))
+
+
+def test_stale_versions_end_in_a_whole_state_and_never_in_a_guess():
+    with Rig(limits={"versions": 2}) as rig:
+        peer, holding = bound(rig)
+        rows = copy.deepcopy(rig.registry.rows)
+        for n in range(4):  # four versions, of which the history keeps two
+            rows[n]["state"] = "draining"
+            rig.registry.set(copy.deepcopy(rows))
+            until(lambda n=n: any(h.startswith(f"h{n}@") for h in rig.live.publication.outs))
+        status, state = peer.poll(version=holding.version)
+        assert status == 200 and state.whole
+        fresh = copy.deepcopy(holding)
+        assert fresh.apply(state) is Outcome.APPLIED
+        assert {h.split("@")[0] for h in fresh.outs} == {"h0", "h1", "h2", "h3"}
+        # One never published: a receipt for nothing, and a whole state.
+        confirmed = rig.live.sessions.by_token[peer.joined.session].confirmed
+        status, state = peer.poll(version=10_000)
+        assert status == 200 and state.whole
+        assert rig.live.sessions.by_token[peer.joined.session].confirmed == confirmed
+        assert rig.live.counts["whole states: never published"] == 1
+        # One of an older epoch: join again.
+        status, _ = peer.poll(epoch=peer.joined.epoch - 1)
+        assert status == 410
+
+
+def test_an_answer_cut_halfway_is_given_again_and_applied_once():
+    with Rig() as rig:
+        peer, holding = rig.peer(), Holding(3, {})
+        holding.join(peer.joined.epoch, peer.joined.version)
+        session = rig.live.sessions.by_token[peer.joined.session]
+        until(lambda: session.released > peer.joined.version)
+        sock = socket.create_connection(rig.address, 2)
+        sock.sendall(f"GET {peer.path()} HTTP/1.1\r\nAccept: {codec.PROTOBUF}\r\n\r\n".encode())
+        assert sock.recv(40)  # a part of the head, and no more
+        sock.close()
+        follow(peer, holding)
+        held = copy.deepcopy(vars(holding))
+        _, again = peer.poll(version=peer.joined.version)
+        assert holding.apply(again) is Outcome.REPEATED
+        assert vars(holding) == held
+
+
+def test_two_polls_of_one_session_do_not_starve_each_other():
+    with Rig() as rig:
+        peer, holding = bound(rig)
+        other = HttpClient(rig.address)
+        first = gevent.spawn(peer.poll, version=holding.version + 0, wait_ms=5000)
+        gevent.sleep(0.05)
+        second = gevent.spawn(other.call, "GET", peer.path(version=holding.version, wait_ms=300), 5)
+        assert first.get(timeout=4)[0] in (200, 204)
+        assert second.get(timeout=4).status in (200, 204)
+
+
+def test_a_tight_loop_of_polls_is_refused_and_the_others_are_served():
+    with Rig(limits={"polls": 10}) as rig:
+        greedy = rig.peer("greedy")
+        statuses = [greedy.poll(wait_ms=0)[0] for _ in range(60)]
+        assert 429 in statuses
+        bound(rig, "calm")
+
+
+def test_sums_sent_twice_count_once():
+    with Rig() as rig:
+        peer = rig.peer()
+        assert peer.sums(1, h1=(10, 2)) == 204
+        assert peer.sums(1, h1=(10, 2)) == 204
+        assert rig.live.counts["sums repeated"] == 1
+        waiting = [m.tries for m in rig.live.intake.met.values()]
+        ready = [m.tries for m in rig.live.intake.ready.values() if hasattr(m, "tries")]
+        assert sum(waiting) + sum(ready) <= 10
+
+
+def test_absurd_sums_are_left_out_and_counted():
+    with Rig() as rig:
+        peer = rig.peer()
+        sums = pb.Sums(session=peer.joined.session, number=1, covers_ms=1000)
+        sums.met.append(pb.Met(host="nobody@1.2.3.4:5", tries=3))
+        sums.met.append(pb.Met(host=next(iter(rig.live.roster.entries)), tries=3, failed=9))
+        sums.came.append(pb.Came(kind=77, came=1))
+        assert peer.post("/v1/sums", sums).status == 204
+        assert rig.live.counts["sums not understood"] == 3
+
+
+def test_bodies_headers_and_bytes_beyond_the_limits_are_refused_with_a_reason():
+    with Rig(limits={"body": 2000, "header_time": 3_000, "held": 20}) as rig:
+        over = b"POST /v1/sums HTTP/1.1\r\nContent-Length: 900000\r\n\r\n"
+        assert b"413" in raw(rig.address, over) and b"limit" in raw(rig.address, over)
+        assert b"431" in raw(rig.address, b"GET /v1/poll HTTP/1.1\r\nA: " + b"x" * 40_000 + b"\r\n\r\n")
+        assert b"400" in raw(rig.address, b"\x00\x01\x02 nonsense\r\n\r\n")
+        assert b"400" in raw(rig.address, b"POST /v1/join HTTP/1.1\r\nContent-Length: 3\r\nConnection: close\r\n\r\n{x}")
+        assert b"404" in raw(rig.address, b"GET /nothing HTTP/1.1\r\nConnection: close\r\n\r\n")
+        bomb, _ = codec.encode(pb.Join(proxy="a" * 1_000_000), codec.PROTOBUF, "zstd")
+        head = f"POST /v1/join HTTP/1.1\r\nContent-Type: {codec.PROTOBUF}\r\nContent-Encoding: zstd\r\nConnection: close\r\n"
+        refused = raw(rig.address, f"{head}Content-Length: {len(bomb)}\r\n\r\n".encode() + bomb)
+        assert b"400" in refused and b"over the limit" in refused
+        # A header that drips in is given up on; the rest go on being served.
+        drip = socket.create_connection(rig.address, 2)
+        drip.sendall(b"GET /v1/st")
+        bound(rig)
+        drip.settimeout(5)
+        assert b"408" in drip.recv(500)
+
+
+def test_a_proxy_that_stops_reading_is_cut_and_holds_up_nobody():
+    with Rig(hosts=500, limits={"write_time": 3_000, "polls": 100_000}) as rig:
+        peer, _ = bound(rig, "slow")
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        sock.connect(rig.address)
+        ask = f"GET {peer.path(version=0)} HTTP/1.1\r\n\r\n".encode()
+        asked = gevent.spawn(sock.sendall, ask * 250)  # megabytes of answers, none of them read
+        bound(rig, "calm")
+        until(lambda: rig.program.server.counts.get("slow readers") == 1, 15)
+        asked.kill()
+        sock.close()
+
+
+def test_all_join_at_once_and_the_channel_stays_within_its_queue():
+    with Rig(hosts=30, service={"proxies": 80, "queue_limit": 3000.0}) as rig:
+        began = rig.live.clock.now()
+        peers = [gevent.spawn(bound, rig, f"p{n}", rig.terms.zones[n % 3]) for n in range(80)]
+        gevent.joinall(peers, raise_error=True)
+        took = rig.live.clock.now() - began
+        assert took < rig.terms.service.bare_time
+        assert rig.live.channel.most <= rig.terms.service.queue_limit
+
+
+def test_a_stopped_director_lets_polls_go_with_a_plain_answer():
+    with Rig() as rig:
+        peer, holding = bound(rig)
+        held = gevent.spawn(peer.poll, version=holding.version + 0, wait_ms=20_000, seconds=25)
+        gevent.sleep(0.1)
+        rig.program.stop()
+        assert held.get(timeout=5)[0] in (200, 503)
+
+
+def test_people_with_curl_get_json():
+    with Rig() as rig:
+        client = HttpClient(rig.address)
+        body = json.dumps({"proxy": "p1", "zone": "hill", "rate": 3}).encode()
+        answer = client.call("POST", "/v1/join", 3, body)
+        told = json.loads(answer.body)
+        assert answer.headers["content-type"] == codec.JSON and int(told["epoch"]) == rig.live.epoch
+        bad = client.call("POST", "/v1/join", 3, b'{"proxy": "p1", "zone": "nowhere"}')
+        assert bad.status == 400 and b"expected one of harbour" in bad.body
+
+
+def test_a_session_ends_after_its_lapse_and_not_at_the_first_cut():
+    with Rig(limits={"lapse": 5_000}) as rig:
+        peer, holding = bound(rig)
+        peer.client.close()
+        assert peer.joined.session in rig.live.sessions.by_token
+        assert peer.poll(version=holding.version, wait_ms=10)[0] in (200, 204)
+        until(lambda: peer.joined.session not in rig.live.sessions.by_token)
+        assert peer.poll()[0] == 410
+
+
+def test_the_same_name_joining_again_ends_the_earlier_session():
+    with Rig() as rig:
+        first = rig.peer("p1")
+        second = rig.peer("p1")
+        assert first.poll()[0] == 410
+        assert second.poll(wait_ms=10)[0] in (200, 204)
+        assert isinstance(second, Peer)
