--- a/ironfall/terms/__init__.py
+++ b/ironfall/terms/__init__.py
@@ -261,7 +261,7 @@
         if node.word in GAUGES:
             gauges.append(GAUGES[node.word])
         else:
-            source.fault(node.at, f"unknown gauge {node.word or node.value!r}; expected {', '.join(GAUGES)}")
+            source.fault(node.at, f"unknown gauge {node.word or repr(node.value)}; expected {', '.join(GAUGES)}")
     prices = top.form("prices", False)
     grace, bare = top.get("grace", _time), top.get("bare", _time)
     service = ServiceTerms(
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -28,8 +28,10 @@
 
 class ListStub:
     def __init__(self, count, zones=("harbour", "hill", "plain")):
-        self.rows = [{"name": f"h{n}", "address": f"127.0.{n // 250 + 9}.{n % 250 + 1}:9000", "zone": zones[n % len(zones)],
-                      "state": "ready", "incarnation": "1"} for n in range(count)]  # fmt: skip
+        self.rows = [
+            {"name": f"h{n}", "address": f"127.0.{n // 250 + 9}.{n % 250 + 1}:9000", "zone": zones[n % len(zones)],
+             "state": "ready", "incarnation": "1"} for n in range(count)
+        ]  # fmt: skip
         self.version, self.changed = 1, Event()
         self.server = HttpServer(("127.0.0.1", 0), Bounds(50, 4096, 2, 60, 2), self.handle)
         self.server.start()
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -134,10 +134,12 @@
         assert b"413" in raw(rig.address, over) and b"limit" in raw(rig.address, over)
         assert b"431" in raw(rig.address, b"GET /v1/poll HTTP/1.1\r\nA: " + b"x" * 40_000 + b"\r\n\r\n")
         assert b"400" in raw(rig.address, b"\x00\x01\x02 nonsense\r\n\r\n")
-        assert b"400" in raw(rig.address, b"POST /v1/join HTTP/1.1\r\nContent-Length: 3\r\nConnection: close\r\n\r\n{x}")
+        broken = b"POST /v1/join HTTP/1.1\r\nContent-Length: 3\r\nConnection: close\r\n\r\n{x}"
+        assert b"400" in raw(rig.address, broken)
         assert b"404" in raw(rig.address, b"GET /nothing HTTP/1.1\r\nConnection: close\r\n\r\n")
         bomb, _ = codec.encode(pb.Join(proxy="a" * 1_000_000), codec.PROTOBUF, "zstd")
-        head = f"POST /v1/join HTTP/1.1\r\nContent-Type: {codec.PROTOBUF}\r\nContent-Encoding: zstd\r\nConnection: close\r\n"
+        head = f"POST /v1/join HTTP/1.1\r\nContent-Type: {codec.PROTOBUF}\r\nContent-Encoding: zstd\r\n"
+        head += "Connection: close\r\n"
         refused = raw(rig.address, f"{head}Content-Length: {len(bomb)}\r\n\r\n".encode() + bomb)
         assert b"400" in refused and b"over the limit" in refused
         # A header that drips in is given up on; the rest go on being served.
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,186 @@
+"""The pure parts of the director and of the laboratory, and the codecs."""
+
+import json
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ironfall.api import codec
+from ironfall.director.channel import Channel, Message
+from ironfall.director.clock import Clock
+from ironfall.director.intake import Intake, Met
+from ironfall.director.roster import BadList, Roster
+from ironfall.director.sessions import Full, Sessions
+from ironfall.generated import ironfall_pb2 as pb
+from ironfall.lab.clients import draw
+from ironfall.lab.day import BadDay, load, read_day
+from ironfall.lab.hosts import Budget
+from ironfall.publication import Delta
+from ironfall.terms import read_terms
+from tests.rig import TERMS
+
+
+def test_the_clock_stands_still_while_the_director_does():
+    at = [100.0]
+    clock = Clock(lambda: at[0])
+    start = clock.now()
+    at[0] += 0.5
+    assert clock.now() == start + 5_000
+    at[0] += 60
+    assert clock.now() == start + 5_000 and clock.stalls == 1
+    at[0] += 0.1
+    assert clock.now() == start + 6_000
+
+
+def test_the_channel_keeps_order_and_pace():
+    channel = Channel(1_000)  # lines a second
+    for n in range(5):
+        channel.put(0, Message(n, 1, 10, 0, -1, False))
+    assert channel.backlog == 50 and channel.due() == 100
+    assert [m.proxy for m in channel.leave(250)] == [0, 1]
+    channel.forget(3)
+    assert [m.proxy for m in channel.leave(500)] == [2, -1, 4]
+    assert channel.backlog == 0 and channel.most == 50
+    channel.put(10_000, Message(9, 2, 10, 10_000, -1, False))
+    assert channel.due() == 10_100  # time that nothing waited is not saved up
+
+
+def test_the_intake_loses_and_doubles_nothing_at_its_pace():
+    chance, now, handed, sent = random.Random(5), 0, [], 0
+    intake = Intake(0, 10_000, 20.0)
+    for _ in range(600):
+        now += 1_000
+        for _ in range(chance.randrange(5)):
+            tries = chance.randrange(1, 9)
+            sent += tries
+            intake.add_met(now, 1_000, chance.randrange(2), bytes([chance.randrange(30)]), tries, 0, 5.0, {"q": 1.0})
+        lines = intake.hand(now)
+        handed.append(len(lines))
+        sent -= sum(it.tries for *_, it in lines if isinstance(it, Met))
+        assert len(intake.met) + len(intake.ready) <= 2 * 2 * 30
+    for start in range(0, 590):
+        assert sum(handed[start : start + 10]) <= 2 * 20 + 1
+    left = [*intake.met.values(), *(m for m in intake.ready.values() if isinstance(m, Met))]
+    assert sent == sum(m.tries for m in left)
+
+
+def test_a_proxy_that_left_leaves_no_sums_for_its_number():
+    intake = Intake(0, 10, 1000)
+    intake.add_came(4, 0, 10, 1)
+    intake.hand(20)
+    intake.add_came(4, 1, 10, 1)
+    intake.forget(4)
+    assert not intake.came and not intake.ready
+
+
+ROW = {"name": "a", "address": "127.0.0.1:1", "zone": "x", "state": "ready", "incarnation": "1", "age_ms": 100}
+
+
+def test_a_restart_is_told_once_and_late_ages_are_no_restart():
+    roster = Roster(("x",), 100_000)
+    (first,) = roster.read(50_000, [ROW], True)
+    assert first.started == 49_000
+    (again,) = roster.read(60_000, [{**ROW, "age_ms": 900}], True)
+    assert again.started == first.started
+    (restarted,) = roster.read(70_000, [{**ROW, "incarnation": "2", "age_ms": 5}], True)
+    assert restarted.started > first.started and restarted.host == first.host
+
+
+def test_swapped_addresses_make_new_hosts_with_ids_of_their_own():
+    roster = Roster(("x", "y"), 100_000)
+    other = {**ROW, "name": "b", "address": "127.0.0.1:2", "zone": "y"}
+    before = roster.read(0, [ROW, other], True)
+    after = roster.read(1, [{**ROW, "address": "127.0.0.1:2"}, {**other, "address": "127.0.0.1:1"}], True)
+    assert len({listing.host for listing in [*before, *after]}) == 4
+    assert [listing.zone for listing in after] == [0, 1]
+
+
+@pytest.mark.parametrize(
+    "row",
+    [{}, {**ROW, "zone": "z"}, {**ROW, "state": "?"}, {**ROW, "address": "nowhere"}, {**ROW, "weight": "x"}, 7, None,
+     {**ROW, "address": "127.0.0.1:99999"}, {**ROW, "weight": -1}, {**ROW, "name": "a@b"}, {**ROW, "age_ms": -5}],
+)  # fmt: skip
+def test_a_bad_list_is_taken_not_even_in_part(row):
+    roster = Roster(("x",), 100_000)
+    with pytest.raises(BadList, match="host 1"):
+        roster.read(0, [ROW, row], True)
+    assert not roster.entries
+
+
+def test_sessions_are_bounded_and_numbers_come_back_late():
+    sessions = Sessions(2, 1_000, 10)
+    one, _two = (sessions.open(0, str(n), f"p{n}", 0, 0, lambda: None) for n in range(2))
+    with pytest.raises(Full):
+        sessions.open(0, "x", "p9", 0, 0, lambda: None)
+    sessions.close(one)
+    assert sessions.open(0, "y", "p3", 0, 0, lambda: None).number == 2
+    assert {s.name for s in sessions.lapsed(2_000)} == {"p1", "p3"}
+
+
+def test_only_what_was_released_can_be_confirmed():
+    sessions = Sessions(2, 1_000, 10)
+    session = sessions.open(0, "a", "p", 0, 3, lambda: None)
+    session.released = 5
+    session.carried = [Message(0, v, 1, 0, v, False) for v in (4, 5)]
+    assert sessions.confirm(session, 9) == [] and sessions.confirm(session, 2) == []
+    assert [m.version for m in sessions.confirm(session, 4)] == [4]
+    assert [m.version for m in sessions.confirm(session, 5)] == [5]
+    assert sessions.confirm(session, 5) == []
+
+
+def test_the_cold_budget_counts_a_burst_and_lets_an_even_share_pass():
+    budget = Budget(0.0, 4, 0.25, 8.0, 3.0, 2.0, 0.0)
+    assert not any(budget.add(0.01 * n, 0.01) for n in range(800))  # one core's worth
+    burst = Budget(0.0, 4, 0.25, 8.0, 3.0, 2.0, 0.0)
+    assert any(burst.add(0.001 * n, 0.1) for n in range(200))
+
+
+FORMS = ["", codec.JSON, codec.PROTOBUF, "text/x"]
+small = st.integers(0, 2**31 - 1)
+deltas = st.builds(
+    Delta, small, st.integers(-1, 2**31), small, st.integers(0, 2**64 - 1),
+    st.dictionaries(st.integers(0, 9), st.integers(0, 65_534), max_size=4),
+    st.lists(st.tuples(st.integers(0, 65_534), st.text(max_size=8), st.integers(0, 2**40)), max_size=30),
+    st.lists(st.tuples(st.text(max_size=8), st.booleans()), max_size=9),
+    st.lists(st.tuples(st.integers(0, 9), st.integers(0, 10**6), st.integers(0, 3)), max_size=4),
+)  # fmt: skip
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(deltas)
+def test_both_codecs_carry_the_same_state(delta):
+    for accept, encodings in ((codec.PROTOBUF, ""), (codec.PROTOBUF, "zstd"), (codec.JSON, "")):
+        body, headers = codec.encode(codec.pack_state(delta, [(1, 2, 3)]), accept, encodings)
+        back = codec.decode(pb.State, body, headers["Content-Type"], headers.get("Content-Encoding", ""), 1 << 20)
+        assert codec.unpack_state(back) == delta
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.binary(max_size=80), st.sampled_from(FORMS), st.sampled_from(["", "zstd", "gzip"]))
+def test_any_bytes_give_a_message_or_a_named_error(body, form, encoding):
+    try:
+        codec.decode(pb.Sums, body, form, encoding, 1000)
+    except codec.Undecodable as wrong:
+        assert str(wrong)
+
+
+def test_a_day_is_the_same_for_every_director_from_its_seed():
+    day = load(TERMS.parent.parent / "days" / "small.day")
+    terms = read_terms(str(TERMS), TERMS.read_text())
+    assert draw(day, terms, 4) == draw(day, terms, 4) != draw(day, terms, 5)
+
+
+@pytest.mark.parametrize(
+    ("line", "what"),
+    [("at 3s crash h99 for 2s", "no host is called 'h99'"), ("at 3s crash h01", "expected for TIME"),
+     ("at 3s melt h01", "unknown trouble 'melt'"), ("at x crash h01 for 2s", "expected a time"),
+     ("hosts a two", "expected a number of hosts"), ("break 3", "unknown word 'break'"),
+     ("at 1s break 300%", "expected a part"), ("demand 5 6", "'6' is left over")],
+)  # fmt: skip
+def test_a_bad_day_names_its_line(line, what):
+    text = "terms t\nhosts a 2\nproxies a 1\ndirector a\ndemand 5\nclass c share 100% work 50ms\n"
+    with pytest.raises(BadDay) as caught:
+        read_day("d", text + line)
+    assert str(caught.value).startswith("d:7: ") and what in str(caught.value), json.dumps(str(caught.value))
