--- /dev/null
+++ b/benchmarks/apply.py
@@ -0,0 +1,142 @@
+"""From a change of the list to its being applied at every proxy, beside a bare broadcast of the same bytes.
+
+The channel's pace is set out of the way: what is measured is the program. Proxies are simulated: the protocol's
+client end in one process, without a data plane. The director is a process of its own, as is the bare broadcaster.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+
+import gevent  # noqa: E402
+from gevent import socket  # noqa: E402
+from gevent.event import Event  # noqa: E402
+from gevent.server import StreamServer  # noqa: E402
+
+from benchmarks.common import Process, Registry, director, free_port, percentile  # noqa: E402
+from ironfall.api import codec  # noqa: E402
+from ironfall.api.http import HttpClient  # noqa: E402
+from ironfall.generated import ironfall_pb2 as pb  # noqa: E402
+from ironfall.publication import Holding  # noqa: E402
+
+HOSTS, CHANGES = 120, 45
+
+
+def bare(port, size):
+    """Writes `size` bytes to every connection when a byte comes on any first one; waits for a byte from each."""
+    socks = []
+
+    def serve(sock, _address):
+        kind = sock.recv(1)
+        if kind == b"r":
+            socks.append(sock)
+            while sock.recv(100):
+                pass
+        else:
+            while sock.recv(1):
+                for one in socks:
+                    one.sendall(b"x" * size)
+
+    StreamServer(("127.0.0.1", port), serve, backlog=1024).serve_forever()
+
+
+class Reader:
+    def __init__(self, address, name, zone):
+        self.client, self.holding, self.out, self.moved = HttpClient(address, 5.0), Holding(2, {}), {}, Event()
+        body, form = codec.encode(pb.Join(proxy=name, zone=zone, rate=1), codec.PROTOBUF)
+        form["Accept"] = codec.PROTOBUF
+        self.joined = pb.Joined.FromString(self.client.call("POST", "/v1/join", 10, body, form).body)
+        self.holding.join(self.joined.epoch, self.joined.version)
+        self.size = 0
+
+    def run(self):
+        headers = {"Accept": codec.PROTOBUF, "Accept-Encoding": "zstd"}
+        while True:
+            path = f"/v1/poll?session={self.joined.session}&epoch={self.joined.epoch}&version={self.holding.version}"
+            answer = self.client.call("GET", path, 90, headers=headers)
+            if answer.status != 200:
+                continue
+            encoding = answer.headers.get("content-encoding", "")
+            state = codec.decode(pb.State, answer.body, codec.PROTOBUF, encoding, 1 << 24)
+            self.holding.apply(codec.unpack_state(state))
+            self.size = len(answer.body)
+            now = time.monotonic()
+            for turn in state.turns:
+                if turn.out:
+                    self.out[turn.host.split("@")[0]] = now
+            self.moved.set()
+
+
+def measure(count):
+    registry = Registry(HOSTS)
+    process = director(registry, count)
+    with process:
+        readers = [Reader(("127.0.0.1", process.port), f"p{n}", "abc"[n % 3]) for n in range(count)]
+        running = [gevent.spawn(r.run) for r in readers]
+        while not all(len(r.holding.binds) == 2 for r in readers):
+            gevent.sleep(0.1)
+        gevent.sleep(2)
+        times = []
+        for n in range(CHANGES):
+            begun = time.monotonic()
+            registry.drain(n)
+            while not all(f"h{n}" in r.out for r in readers):
+                waits = next(r for r in readers if f"h{n}" not in r.out)
+                waits.moved.clear()
+                waits.moved.wait(10)
+            times.append(max(r.out[f"h{n}"] for r in readers) - begun)
+            gevent.sleep(0.05)
+        size = readers[0].size
+        gevent.killall(running)
+    return times, size
+
+
+def measure_bare(count, size):
+    port = free_port()
+    with Process("-m", "benchmarks.apply", "--bare", str(port), str(size), port=port):
+        socks = [socket.create_connection(("127.0.0.1", port), 10) for _ in range(count)]
+        for sock in socks:
+            sock.sendall(b"r")
+        trigger = socket.create_connection(("127.0.0.1", port), 10)
+        trigger.sendall(b"t")
+        gevent.sleep(0.5)
+        times = []
+
+        def read(sock):
+            got = 0
+            while got < size:
+                got += len(sock.recv(65536))
+            sock.sendall(b"a")
+
+        for _ in range(CHANGES):
+            readers = [gevent.spawn(read, sock) for sock in socks]
+            gevent.sleep(0.02)
+            begun = time.monotonic()
+            trigger.sendall(b"g")
+            gevent.joinall(readers)
+            times.append(time.monotonic() - begun)
+    return times
+
+
+def main():
+    rows = []
+    for count in (9, 40, 315):
+        times, size = measure(count)
+        floor = measure_bare(count, size + 160)  # with the head of an answer
+        row = {"proxies": count, "bytes": size}
+        for name, values in (("applied", times), ("bare", floor)):
+            row[f"{name}_p50_ms"] = round(percentile(values, 0.5) * 1000, 1)
+            row[f"{name}_p99_ms"] = round(percentile(values, 0.99) * 1000, 1)
+        rows.append(row)
+        print(json.dumps(row), flush=True)
+
+
+if __name__ == "__main__":
+    if sys.argv[1:2] == ["--bare"]:
+        bare(int(sys.argv[2]), int(sys.argv[3]))
+    else:
+        main()
