--- a/ironfall/cli.py
+++ b/ironfall/cli.py
@@ -228,7 +228,8 @@
 @click.option("--control", type=ADDRESS, required=True)
 @click.option("--tape", type=click.Path(path_type=Path), required=True)
 @click.option("--seed", type=int, default=1)
-def lab_hosts(day: Path, registry: Any, control: Any, tape: Path, seed: int) -> None:
+@click.option("--net", default="127.0", help="The first half of the hosts' loopback addresses.")
+def lab_hosts(day: Path, registry: Any, control: Any, tape: Path, seed: int, net: str) -> None:
     """Run the emulated hosts of DAY and a stand-in for their registry, until SIGTERM."""
     import gevent
 
@@ -237,7 +238,7 @@
     from ironfall.lab.tape import Tape
 
     written, read = Tape(tape), load(day)
-    served = gevent.spawn(serve_fleet, read, terms_of(read), registry, control, written, seed)
+    served = gevent.spawn(serve_fleet, read, terms_of(read), registry, control, written, seed, net)
     served.link_exception(lambda _: sys.exit(1))
     until_told(written)
 
--- a/ironfall/lab/hosts.py
+++ b/ironfall/lab/hosts.py
@@ -279,7 +279,8 @@
 class Fleet:
     """All hosts of a day in one process, with the list that tells of them late."""
 
-    def __init__(self, day: Day, terms: Terms, teller: Callable[[str], Callable[..., None]], seed: int) -> None:
+    def __init__(self, day: Day, terms: Terms, teller: Callable[[str], Callable[..., None]], seed: int,
+                 net: str = "127.0") -> None:  # fmt: skip
         self.day, self.terms, self.teller = day, terms, teller
         self.chance = random.Random(seed)
         self.cut: set[str] = set()
@@ -290,7 +291,8 @@
         self.listed: Callable[[Host, str, float], None] = lambda _host, _state, _late: None
         zones = list(terms.zones)
         for n, line in enumerate(day.hosts):
-            self.hosts[line.name] = Host(self, line, (f"127.0.{zones.index(line.zone) + 1}.{n + 1}", 0))
+            block = zones.index(line.zone) + 1 + 32 * (n // 250)
+            self.hosts[line.name] = Host(self, line, (f"{net}.{block}.{n % 250 + 1}", 0))
 
     def start(self) -> None:
         for host in self.hosts.values():
--- a/ironfall/lab/play.py
+++ b/ironfall/lab/play.py
@@ -1,6 +1,7 @@
 """The conductor: sets up a day's processes, brings its troubles at their times, and has it judged."""
 
 import json
+import os
 import random
 import signal
 import socket
@@ -37,10 +38,12 @@
     return read_terms(str(path), path.read_text())
 
 
-def free_ports(count: int) -> list[int]:
+def free_ports(ip: str, count: int) -> list[int]:
+    """Ports that nobody listens on. Of an address that no other play uses: on 127.0.0.1 another's outgoing
+    connection may take a port between its being found here and its being listened on."""
     socks = [socket.socket() for _ in range(count)]
     for sock in socks:
-        sock.bind(("127.0.0.1", 0))
+        sock.bind((ip, 0))
     ports = [sock.getsockname()[1] for sock in socks]
     for sock in socks:
         sock.close()
@@ -48,9 +51,9 @@
 
 
 def serve_fleet(day: Day, terms: Terms, registry: tuple[str, int], control: tuple[str, int], tape: Tape,
-                seed: int) -> None:  # fmt: skip
+                seed: int, net: str) -> None:  # fmt: skip
     """The process of hosts and registry; troubles come as lines of JSON on the control address."""
-    fleet = Fleet(day, terms, tape.teller, seed)
+    fleet = Fleet(day, terms, tape.teller, seed, net)
     listing = Registry(registry, fleet, tape.teller("registry"))
     fleet.start()
     listing.start()
@@ -97,6 +100,8 @@
         self.chance = random.Random(seed)
         self.running: dict[str, subprocess.Popen[bytes]] = {}
         self.wires: list[Wire] = []
+        self.net = f"127.{1 + os.getpid() % 254}"
+        self.ip = f"{self.net}.0.1"
         folder.mkdir(parents=True, exist_ok=True)
         for old in [*folder.glob("*.tape"), *folder.glob("*.log"), *folder.glob("*.turns")]:
             old.unlink()
@@ -128,13 +133,13 @@
 
     def _play(self) -> Played:
         day = self.day
-        ports = free_ports(2 + len(day.directors) + len(day.proxies))
-        registry, self.control = ("127.0.0.1", ports[0]), ("127.0.0.1", ports[1])
-        self.director_at = {name: ("127.0.0.1", ports[2 + n]) for n, (name, _) in enumerate(day.directors)}
-        proxies = {name: ("127.0.0.1", ports[2 + len(day.directors) + n]) for n, (name, _) in enumerate(day.proxies)}
+        ports = free_ports(self.ip, 2 + len(day.directors) + len(day.proxies))
+        registry, self.control = (self.ip, ports[0]), (self.ip, ports[1])
+        self.director_at = {name: (self.ip, ports[2 + n]) for n, (name, _) in enumerate(day.directors)}
+        proxies = {name: (self.ip, ports[2 + len(day.directors) + n]) for n, (name, _) in enumerate(day.proxies)}
         self.registry = registry
         self._start("hosts", "lab", "hosts", day.file, "--registry", _text(registry), "--control", _text(self.control),
-                    "--tape", str(self.folder / "hosts.tape"), "--seed", str(self.seed))  # fmt: skip
+                    "--tape", str(self.folder / "hosts.tape"), "--seed", str(self.seed), "--net", self.net)  # fmt: skip
         for name, _ in day.directors:
             self._start_director(name)
         self._there("hosts", self.control)
@@ -144,10 +149,10 @@
         for zone in sorted({z for _, z in day.proxies}):
             dials = []
             for name, own in day.directors:
-                wire = Wire(self.director_at[name], (zone, own))
+                wire = Wire(self.director_at[name], (zone, own), (self.ip, 0))
                 self.wires.append(wire)
-                dials += ["--director", f"127.0.0.1:{wire.port}"]
-                named[f"127.0.0.1:{wire.port}"] = name
+                dials += ["--director", f"{self.ip}:{wire.port}"]
+                named[f"{self.ip}:{wire.port}"] = name
             asked = rates(day, self.seed)
             own_words = []
             for n, (name, place) in enumerate(day.proxies):
