--- a/ironfall/director/turns.py
+++ b/ironfall/director/turns.py
@@ -75,8 +75,9 @@
             raise NotImplementedError("levels of one table are not published")
         self.live.publication.admit(classes, level, tries)
         self.orders.append(["admit", table, classes, level, tries])
-        said = {"classes": classes, "level": round(level, 4), "tries": tries, **explain.admission(self.live.decisions)}
-        self.said.append(("admit", said))
+        # Not called a level here: in a log that is how grave a line is.
+        said = {"classes": classes, "share": round(level, 4), "tries": tries}
+        self.said.append(("admit", {**said, **explain.admission(self.live.decisions)}))
 
     def probe(self, host: bytes) -> None:
         self.orders.append(["probe", host.hex()])
--- a/ironfall/lab/others.py
+++ b/ironfall/lab/others.py
@@ -24,17 +24,17 @@
             orders.watch_list()
 
     def listed(self, now: int, entries: Iterable[Listing], whole: bool, fresh: bool) -> None:
-        entries = list(entries)
-        named = {e.host for e in entries}
-        states = {e.host: e.ready for e in entries}
-        if whole:
-            states.update({h: False for h in self.ready if h not in named})
-        for host, ready in states.items():
+        for host, ready in self._states(entries, whole).items():
             if ready != self.ready.get(host, False):
                 self.orders.set_line(0, host, float(ready))
                 self.orders.withdraw(host, not ready)
             self.ready[host] = ready
 
+    def _states(self, entries: Iterable[Listing], whole: bool) -> dict[bytes, bool]:
+        """Whether each host that is named is ready; of a whole list, what it leaves out is not."""
+        left_out = {host: False for host in self.ready} if whole else {}
+        return left_out | {e.host: e.ready for e in entries}
+
     def list_failed(self) -> None:
         self.orders.wake(10_000, 1)
 
@@ -56,12 +56,7 @@
     """Standing tables stay; hosts that drain or are gone are withdrawn, and nothing else is ordered."""
 
     def listed(self, now: int, entries: Iterable[Listing], whole: bool, fresh: bool) -> None:
-        entries = list(entries)
-        named = {e.host for e in entries}
-        states = {e.host: e.ready for e in entries}
-        if whole:
-            states.update({h: False for h in self.ready if h not in named})
-        for host, ready in states.items():
+        for host, ready in self._states(entries, whole).items():
             if ready != self.ready.get(host, True):
                 self.orders.withdraw(host, not ready)
             self.ready[host] = ready
--- a/ironfall/proxy/picking.py
+++ b/ironfall/proxy/picking.py
@@ -2,6 +2,7 @@
 
 import bisect
 import random
+from collections.abc import Set
 from itertools import accumulate
 
 from ironfall.interface import ExchangeClass
@@ -21,7 +22,7 @@
     def changed(self) -> None:
         self.ready.clear()
 
-    def pick(self, now: int, kind: int, passed: frozenset[str] = frozenset()) -> str | None:
+    def pick(self, now: int, kind: int, passed: Set[str] = frozenset()) -> str | None:
         """A host by weight, not among those `passed` over; None where there is no line to pick.
 
         A host shunned for its failures is passed over only while another is left.
--- a/ironfall/proxy/program.py
+++ b/ironfall/proxy/program.py
@@ -135,11 +135,12 @@
         if level < 1 and self.chance.random() >= level:
             self.gathered.came[kind][2] += 1
             return pb.Answer(outcome=pb.REFUSED, cause="not let in")
-        ends = now() + min(exchange.left_ms * 10, terms.abandon_time)
+        begun = now()
+        ends = begun + min(exchange.left_ms * 10, terms.abandon_time)
         passed: set[str] = set()
         first_ran, never_ran = 0, True
         while True:
-            host = self.picking.pick(now(), kind, frozenset(passed))
+            host = self.picking.pick(begun, kind, passed)
             if host is None:
                 if not passed:
                     self.gathered.came[kind][3] += 1
@@ -147,7 +148,7 @@
                     return pb.Answer(outcome=pb.REFUSED, cause="no host to pick")
                 break
             passed.add(host)
-            left, begun = ends - now(), now()
+            left = ends - begun
             if left <= 0:
                 break
             if way >= 2 and may_try_again(terms, way, len(passed), False, 0, 0):
@@ -157,7 +158,8 @@
                 return pb.Answer(outcome=pb.FULFILLED)
             if outcome == pb.FAILED:
                 never_ran, first_ran = False, first_ran or begun
-            since = now() - first_ran if first_ran else 0
+            begun = now()
+            since = begun - first_ran if first_ran else 0
             margin = self.terms.proxy.connect_time
             if not may_try_again(terms, way, len(passed), never_ran, since, margin):
                 return pb.Answer(outcome=pb.REFUSED if never_ran else pb.FAILED, cause=cause)
@@ -165,7 +167,8 @@
 
     def _try(self, host: str, exchange: pb.Exchange, attempt: int, left: int) -> tuple[int, str]:
         """One try at one host: its outcome, and why. What is given up on is called off at the host at once."""
-        begun, good, gauges = now(), False, {}  # type: int, bool, dict[str, float]
+        begun, good = now(), False
+        gauges: dict[str, float] = {}
         link: Link | None = None
         number, outcome, cause = 0, pb.FAILED, "given up by the client"
         try:
@@ -174,9 +177,9 @@
                 outcome, cause = pb.REFUSED, "no connection"
                 return outcome, cause
             self.tell("try", token=exchange.token, kind=exchange.kind, host=host, attempt=attempt)
-            sent = pb.Exchange(kind=exchange.kind, token=exchange.token, key=exchange.key, attempt=attempt,
-                               left_ms=max(1, left // 10), host=host, client_try=exchange.client_try)  # fmt: skip
-            call: AsyncResult = link.send("exchange", sent)
+            # The client's own message, changed: its number there was noted before, and a frame is made at once.
+            exchange.attempt, exchange.left_ms, exchange.host = attempt, max(1, left // 10), host
+            call: AsyncResult = link.send("exchange", exchange)
             number = link.last
             try:
                 answer = call.get(timeout=max(0.001, (left - (now() - begun)) / SECOND))
@@ -187,7 +190,9 @@
             if answer is None:
                 cause = "connection lost"
                 return outcome, cause
-            outcome, cause, gauges = answer.outcome, answer.cause, read_gauges(answer.gauges)
+            outcome, cause = answer.outcome, answer.cause
+            if answer.HasField("gauges"):
+                gauges = read_gauges(answer.gauges)
             good = outcome == pb.FULFILLED
             return outcome, cause
         finally:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -1,6 +1,7 @@
 """A director in this process, a registry that tells what the test sets, and peers that misbehave on purpose."""
 
 import json
+import time
 from dataclasses import replace
 from pathlib import Path
 
@@ -84,7 +85,7 @@
         answer = self.post("/v1/join", pb.Join(proxy=name, zone=zone, rate=rate))
         assert answer.status == 200, answer
         self.joined = pb.Joined.FromString(answer.body)
-        self.number = 0
+        self.carried = {}
 
     def post(self, path, message, seconds=5):
         body, headers = codec.encode(message, codec.PROTOBUF)
@@ -99,7 +100,12 @@
         answer = self.client.call("GET", self.path(**about), seconds, headers={"Accept": codec.PROTOBUF})
         state = None
         if answer.status == 200:
-            state = codec.unpack_state(codec.decode(pb.State, answer.body, codec.PROTOBUF, "", 1 << 20))
+            told = codec.decode(pb.State, answer.body, codec.PROTOBUF, "", 1 << 20)
+            state = codec.unpack_state(told)
+            now = time.monotonic()
+            for carried in told.carried:  # when it was ordered and when it came, by version
+                times = (now - carried.waited_us / 1e6, now, carried.lines)
+                self.carried.setdefault(carried.version, times)
         return answer.status, state
 
     def sums(self, number, **met):
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -13,7 +13,7 @@
 from ironfall.terms import read_terms
 
 DAYS = Path(__file__).with_name("days")
-NAMES = ["killed", "lost", "swapped", "stopped", "writes"]
+NAMES = ["cut", "killed", "lost", "swapped", "stopped", "writes"]
 TERMS = DAYS.parent.parent / "deploy" / "terms" / "resale.sexp"
 
 
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -171,7 +171,15 @@
         gevent.joinall(peers, raise_error=True)
         took = rig.live.clock.now() - began
         assert took < rig.terms.service.bare_time
-        assert rig.live.channel.most <= rig.terms.service.queue_limit
+        # The queue as the sockets show it: what was ordered at a time and had not yet come.
+        steps = [(at, lines) for job in peers for x in job.value[0].carried.values()
+                 for at, lines in ((x[0], x[2]), (x[1], -x[2]))]  # fmt: skip
+        waiting = most = 0
+        for _, lines in sorted(steps):
+            waiting += lines
+            most = max(most, waiting)
+        assert 0 < most <= rig.terms.service.queue_limit
+        assert len({x[0] for job in peers for x in job.value[0].carried.values()}) > 1  # in portions
 
 
 def test_a_stopped_director_lets_polls_go_with_a_plain_answer():
