Begin Graphite and collectd: codecs both ways, which reading counts, a spool whose books balance

Need: operators' figures come and go by these two; bytes from a network must give a value or a named error. The module takes a reading by a method of its own (gauged), ten lines, which lets no reading speak against failed tries.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -261,6 +261,16 @@
             # A jam swallows probes: its last gauge must not stand. Unless it is the way there that does.
             it.gauge(now, {"q": max(it.held, it.flow * self.others * self.expected / SECOND)})
 
+    def gauged(self, now: int, host: bytes, age: int, gauge: Gauge) -> None:
+        """A reading that others took some time ago. It is no answer of the host's: nothing comes back for it."""
+        it = self.hosts.get(host)
+        if it and now - age > it.gauged:
+            # A host that takes all and answers nothing may well be called idle: what its proxies met stands.
+            failing = it.mute or any(m.mass >= 3 and m.value > 0.5 for m in it.failing)
+            held = it.held
+            it.gauge(now - age, gauge)
+            it.held = max(held, it.held) if failing else it.held
+
     def woken(self, now: int, token: int) -> None:
         if token:
             self.orders.watch_list()
--- /dev/null
+++ b/ironfall/metrics/spool.py
@@ -0,0 +1,73 @@
+"""Points that wait to be sent: bounded, folded before any is lost, the oldest lost first and counted. No I/O."""
+
+from collections import Counter, OrderedDict
+from dataclasses import dataclass
+
+from ironfall.metrics.point import Point
+
+FOLD = 10.0  # seconds that are made one when there is no room
+
+Key = tuple[str, tuple[tuple[str, str], ...], float]
+
+
+@dataclass(slots=True)
+class Waiting:
+    value: float
+    count: int
+    at: float
+
+
+class Spool:
+    """`how` of a series is `last` (counters, which only grow), `mean` or `max` (gauges, latencies)."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.waiting: OrderedDict[Key, Waiting] = OrderedDict()
+        self.how: dict[str, str] = {}
+        self.counts: Counter[str] = Counter()
+
+    def put(self, point: Point, how: str = "last") -> None:
+        self.counts["put"] += 1
+        self.how[point.series] = how
+        self._add(self.waiting, (point.series, point.tags, point.at), Waiting(point.value, 1, point.at), how)
+        if len(self.waiting) > self.most:
+            self._fold()
+        while len(self.waiting) > self.most:
+            _, lost = self.waiting.popitem(last=False)
+            self.counts["dropped"] += lost.count
+
+    @staticmethod
+    def _add(into: OrderedDict[Key, Waiting], key: Key, it: Waiting, how: str) -> None:
+        held = into.get(key)
+        if held is None:
+            into[key] = it
+            return
+        whole = held.count + it.count
+        mean = (held.value * held.count + it.value * it.count) / whole
+        held.value = mean if how == "mean" else max(held.value, it.value) if how == "max" else it.value
+        held.count, held.at = whole, max(held.at, it.at)
+
+    def _fold(self) -> None:
+        """Second by second becomes ten by ten, but for the newest ten seconds."""
+        newest = max(it.at for it in self.waiting.values())
+        folded: OrderedDict[Key, Waiting] = OrderedDict()
+        for (series, tags, at), it in self.waiting.items():
+            slot = at - at % FOLD if at < newest - FOLD else at
+            self._add(folded, (series, tags, slot), it, self.how.get(series, "last"))
+        self.counts["folded"] += len(self.waiting) - len(folded)
+        self.waiting = folded
+
+    def take(self, most: int) -> list[tuple[Key, Waiting]]:
+        """The oldest, to be sent; they wait on until `sent`."""
+        return [pair for _, pair in zip(range(most), self.waiting.items(), strict=False)]
+
+    def sent(self, taken: list[tuple[Key, Waiting]]) -> None:
+        for key, it in taken:
+            if self.waiting.get(key) is it:
+                del self.waiting[key]
+                self.counts["sent"] += it.count
+
+    @property
+    def held(self) -> int:
+        """Points that wait, as they were put: put = sent + dropped + held, at all times."""
+        return sum(it.count for it in self.waiting.values())
--- /dev/null
+++ b/tests/test_metrics_codecs.py
@@ -0,0 +1,126 @@
+"""Graphite and collectd, both ways: what goes out comes back, and any bytes give a value or a named error."""
+
+import math
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ironfall.metrics import collectd
+from ironfall.metrics.collectd import ValueList, decode, encode, encrypt, sign
+from ironfall.metrics.graphite import LINE_MOST, Lines, format_line, parse_line
+from ironfall.metrics.point import Malformed, Point
+
+KEYS = {"ops": "a secret", "other": "another"}.get
+paths = st.from_regex(r"\A[a-z][a-z0-9_.-]{0,30}\Z")
+finite = st.floats(allow_nan=False, allow_infinity=False)
+tags = st.dictionaries(paths, paths, max_size=3).map(lambda d: tuple(sorted(d.items())))
+many = settings(max_examples=300, deadline=None, derandomize=True)
+
+
+@many
+@given(st.builds(Point, paths, finite, st.integers(1, 2**33).map(float), tags))
+def test_graphite_lines_come_back(point):
+    assert parse_line(format_line(point).rstrip(b"\n")) == point
+
+
+@many
+@given(st.lists(st.binary(max_size=30), max_size=20), st.integers(1, 7))
+def test_any_bytes_in_any_cuts_give_the_same_lines(chunks, size):
+    whole = b"".join(chunks) + b"\n"
+    lines = [line for line in Lines().feed(whole)]
+    pieces, cut = Lines(), []
+    for at in range(0, len(whole), size):
+        cut += pieces.feed(whole[at : at + size])
+    assert cut == lines
+    for line in lines:
+        try:
+            parse_line(line)
+        except Malformed as wrong:
+            assert str(wrong)
+
+
+def test_an_endless_line_is_told_once_and_held_in_bounds():
+    lines, told = Lines(), []
+    for _ in range(1000):
+        told += lines.feed(b"x" * 1000)
+        assert len(lines.held) <= LINE_MOST + 1000
+    told += lines.feed(b"\ngood 1 2\n")
+    assert [isinstance(t, Malformed) for t in told] == [True, False] and told[1] == b"good 1 2"
+
+
+@pytest.mark.parametrize(
+    "line",
+    [b"", b"a", b"a b c", b"a nan 1", b"a inf 1", b"a 1 -5", b"a 1 2 3", b"a;b 1 2", b"a;=c 1 2", b"\xff 1 2",
+     b"a 1_0 2", b"a 1 1e400", b"(lp0 1 2"],
+)  # fmt: skip
+def test_what_is_no_graphite_line_is_named(line):
+    with pytest.raises(Malformed):
+        parse_line(line)
+
+
+texts = st.text(alphabet="abcz09._-", max_size=20)
+values = st.one_of(
+    st.tuples(st.just(collectd.GAUGE), st.floats(allow_nan=False)),
+    st.tuples(st.sampled_from([collectd.COUNTER, collectd.ABSOLUTE]), st.integers(0, 2**64 - 1)),
+    st.tuples(st.just(collectd.DERIVE), st.integers(-(2**63), 2**63 - 1)),
+)
+lists = st.builds(ValueList, texts, texts, texts, texts, texts, st.integers(0, 2**33).map(lambda n: n / 8),
+                  st.integers(0, 80).map(lambda n: n / 8), st.lists(values, min_size=1, max_size=4))  # fmt: skip
+
+
+@many
+@given(st.lists(lists, max_size=20))
+def test_collectd_packets_come_back_plain_signed_and_encrypted(sent):
+    packets = encode(sent)
+    assert all(len(p) <= 1452 for p in packets)
+    assert [one for p in packets for one in decode(p)] == sent
+    assert [one for p in packets for one in decode(sign(p, "ops", "a secret"), KEYS, "signed")] == sent
+    for n, packet in enumerate(packets):
+        sealed = encrypt(packet, "ops", "a secret", n.to_bytes(16, "big"))
+        assert decode(sealed, KEYS, "encrypted") == decode(packet)
+
+
+@settings(max_examples=1500, deadline=None, derandomize=True)
+@given(st.binary(max_size=200))
+def test_any_packet_gives_lists_or_a_named_error(packet):
+    for prefix in (b"", b"\x02\x00\x00", b"\x02\x10\x00", b"\x00\x06\x00"):
+        try:
+            decode(prefix + packet, KEYS)
+        except Malformed as wrong:
+            assert str(wrong)
+
+
+@many
+@given(st.data())
+def test_a_changed_byte_of_a_sealed_packet_is_never_taken(data):
+    packet = encode([ValueList("n7", "load", "", "gauge", "util", 1.0, 1.0, [(collectd.GAUGE, 0.5)])])[0]
+    both = sign(packet, "ops", "a secret"), encrypt(packet, "ops", "a secret", b"\1" * 16)
+    sealed = data.draw(st.sampled_from(both))
+    at, bit = data.draw(st.integers(0, len(sealed) - 1)), data.draw(st.integers(0, 7))
+    broken = bytearray(sealed)
+    broken[at] ^= 1 << bit
+    with pytest.raises(Malformed):
+        decode(bytes(broken), KEYS, "signed")
+
+
+def test_a_packet_by_hand_from_the_published_layout():
+    packet = b"\0\0\0\x07n7\0" b"\0\1\0\x0c\0\0\0\0\x67\x4b\x9a\0" b"\0\2\0\x09load\0"
+    packet += b"\0\4\0\x0agauge\0" b"\0\6\0\x0f\0\1\1" b"\0\0\0\0\0\0\xd0\x3f"
+    (one,) = decode(packet)
+    assert (one.host, one.plugin, one.type, one.at, one.values) == ("n7", "load", "gauge", 0x674B9A00, [(1, 0.25)])
+    assert one.series() == "n7.load.gauge"
+
+
+def test_an_unknown_gauge_is_a_value_that_is_not_a_number():
+    packet = encode([ValueList("n7", "load", values=[(collectd.GAUGE, math.nan)])])[0]
+    assert math.isnan(decode(packet)[0].values[0][1])
+
+
+@pytest.mark.parametrize("must", ["signed", "encrypted"])
+def test_less_than_is_asked_for_is_refused(must):
+    packet = encode([ValueList("n7", "load", values=[(collectd.GAUGE, 1.0)])])[0]
+    with pytest.raises(Malformed, match="not " + must):
+        decode(packet, KEYS, must)
+    with pytest.raises(Malformed, match="not known"):
+        decode(sign(packet, "stranger", "x"), KEYS, "signed")
