Send measurements and take readings by Graphite and collectd, beside the director's probes

Need: operators already read and deliver node figures by these two; serving must not feel it. Change: receivers over TCP and UDP with limits on connections, line length and rate; senders each with a greenlet and a bounded spool; mapping and limits in the terms, checked with places; readings to the module's gauged; ironfall metrics explain; a scenario in which an idle reading does not clear a failing host. Plaintext from a registry's client library is read.

--- a/deploy/terms/charts.sexp
+++ b/deploy/terms/charts.sexp
@@ -12,4 +12,10 @@
   (proxies 6)
   (list (registry "127.0.0.1:7500") (mode watched))
   (listen "127.0.0.1:7501")
+  (metrics
+    (graphite (listen "127.0.0.1:7503"))
+    (collectd (listen "127.0.0.1:7504"))
+    (reading "servers.{host}.queue" queue)
+    (reading "{host}.exchanges.gauge-waiting" queue)
+    (late 30s))
   (proxy (standing 5) (shun-after 3) (shun-time 4s)))
--- a/ironfall/cli.py
+++ b/ironfall/cli.py
@@ -142,6 +142,49 @@
     _run_director(file, **about, decide=Director)
 
 
+@main.group()
+def metrics() -> None:
+    """Measurements and readings by Graphite and collectd."""
+
+
+@metrics.command("explain")
+@click.argument("file", type=FILE)
+@click.argument("line")
+def metrics_explain(file: Path, line: str) -> None:
+    """Say what a Graphite LINE would do to a director by the terms in FILE, and why. Exit 1 where it does nothing.
+
+    \b
+    Example:
+      ironfall metrics explain deploy/terms/charts.sexp 'servers.node7.queue 4 1733000000'
+    """
+    import time
+
+    from ironfall.metrics.graphite import parse_line
+    from ironfall.metrics.mapping import Mapping
+    from ironfall.metrics.point import Malformed
+
+    read = terms_from(file).metrics
+    try:
+        point = parse_line(line.encode())
+    except Malformed as wrong:
+        click.echo(f"no line: {wrong}")
+        sys.exit(1)
+    found = Mapping(list(read.readings)).find(point.series)
+    if found is None:
+        patterns = ", ".join(pattern for pattern, _ in read.readings) or "none"
+        click.echo(f"{point.series} fits no reading; the patterns are: {patterns}")
+        sys.exit(1)
+    age = time.time() - point.at if point.at else 0.0
+    click.echo(f"a reading of {found[1]} of the host called {found[0]}: {point.value:g}, {age:.1f}s old")
+    if age > read.late / 10_000:
+        click.echo(f"left out: older than (late {read.late / 10_000:g}s)")
+        sys.exit(1)
+    if -age > read.ahead / 10_000:
+        click.echo(f"left out: from the future by more than (ahead {read.ahead / 10_000:g}s)")
+        sys.exit(1)
+    click.echo("taken, if the host is listed, started before it, and no newer reading has come")
+
+
 @main.command()
 @click.argument("file", type=FILE)
 @click.argument("turns", type=FILE)
--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -21,6 +21,7 @@
 from ironfall.director.turns import Decide, Live
 from ironfall.generated import ironfall_pb2 as pb
 from ironfall.logic import Director
+from ironfall.metrics.service import Metrics
 from ironfall.publication import Delta
 from ironfall.terms import Terms
 
@@ -39,6 +40,7 @@
         self.terms, self.log, self.name = terms, log, name
         self.zone = zone or terms.zones[0]
         seed = secrets.randbits(63) if seed is None else seed
+        self.seed = seed
         self.chance = random.Random(seed + 1)  # of jitter alone: the module's is its own
         # Ordered over starts, as long as the machine's clock is not set back by hand.
         epoch = time.time_ns() // 1000
@@ -63,6 +65,7 @@
         self.loop.link_exception(self._broken)
         gevent.spawn(self._watch_list)
         self.server.start()
+        self.metrics = Metrics(self.live, self.terms.metrics, self.name, self.seed, self.server.counts)
         self.log.info("listening", address=f"{self.terms.listen[0]}:{self.server.port}", epoch=self.live.epoch)
 
     def wait(self) -> int:
@@ -77,6 +80,7 @@
         # Held polls are let go first, with a plain answer, so that proxies turn to another director at once.
         self.live.stop()
         self.server.stop(1.0)
+        self.metrics.stop()
         self.log.info("stopped", turns=self.live.lengths.get_total_count())
         if hasattr(self, "done"):
             self.done.set()
@@ -324,5 +328,6 @@
             "stalls": live.clock.stalls, "turns": live.lengths.get_total_count(),
             "turn": spread(live.lengths), "event_to_turn": spread(live.waits), "order_to_applied": spread(live.applies),
             "levels": {self.terms.classes[k]: v / 1e6 for k, (v, _) in live.publication.admits.items()},
-            "counts": {**live.counts, **self.server.counts},
+            "counts": {**live.counts, **self.server.counts, **self.metrics.counts},
+            "readings": dict(self.metrics.readings.counts),
         }  # fmt: skip
--- a/ironfall/director/turns.py
+++ b/ironfall/director/turns.py
@@ -30,7 +30,7 @@
 BEAT = 0.1  # seconds; the loop reads the clock at least that often, and so sees its own standstill
 EVERYONE = 65535
 # Events of one turn go to the module in this order; those of a kind in the order in which they came.
-RANK = {"listed": 0, "list_failed": 1, "left": 2, "joined": 3, "applied": 4, "probed": 5}
+RANK = {"listed": 0, "list_failed": 1, "left": 2, "joined": 3, "applied": 4, "probed": 5, "gauged": 6}
 
 Decide = Callable[[Orders, ServiceTerms, random.Random, int], Any]
 
@@ -323,7 +323,7 @@
 def _revive(call: list[Any]) -> list[Any]:
     if call[0] == "listed":
         return ["listed", [Listing(bytes.fromhex(row[0]), *row[1:]) for row in call[1]], *call[2:]]
-    if call[0] in ("heard", "probed"):
+    if call[0] in ("heard", "probed", "gauged"):
         place = 2 if call[0] == "heard" else 1
         return [*call[:place], bytes.fromhex(call[place]), *call[place + 1 :]]
     return call
--- /dev/null
+++ b/ironfall/metrics/measures.py
@@ -0,0 +1,48 @@
+"""What a director measures of itself, as points. No I/O: reads the live director's own counts and histograms."""
+
+from typing import Any
+
+from ironfall.metrics.point import Point
+
+# Series with how they fold: docs/metrics.md lists each with its unit and what to do about it.
+PERCENTILES = (50, 99, 100)
+
+
+def points(live: Any, prefix: str, at: float, served: dict[str, int], ages: list[float]) -> list[tuple[Point, str]]:
+    """The measurements at one moment, each with how it is to be folded.
+
+    Counters only grow from the start of the director on; histograms are of the time since it started.
+    """
+    found: list[tuple[Point, str]] = []
+
+    def put(name: str, value: float, how: str = "last", **tags: str) -> None:
+        found.append((Point(f"{prefix}.{name}", float(value), at, tuple(sorted(tags.items()))), how))
+
+    for name, histogram in (("turn", live.lengths), ("event_to_turn", live.waits), ("order_to_applied", live.applies)):
+        for percentile in PERCENTILES:
+            value = histogram.get_value_at_percentile(percentile) / 1000
+            put(f"{name}_ms.p{percentile}", value, "max")
+        put(f"{name}.count", histogram.get_total_count())
+    put("channel.backlog", live.channel.backlog, "max")
+    put("channel.sent_lines", live.channel.sent)
+    put("events.waiting", len(live.events), "max")
+    put("publication.version", live.publication.version)
+    put("publication.withdrawn", len(live.publication.outs), "mean")
+    put("hosts.listed", len(live.roster.entries), "mean")
+    put("own.stalls", live.clock.stalls)
+    held = by_zone = 0
+    for zone, name in enumerate(live.terms.zones):
+        mine = [s for s in live.sessions.by_token.values() if s.zone == zone]
+        by_zone += len(mine)
+        held += sum(s.held for s in mine)
+        put("proxies.joined", len(mine), "mean", zone=name)
+    put("polls.held", held, "mean")
+    for kind, name in enumerate(live.terms.classes):
+        level, _ = live.publication.admits.get(kind, (1_000_000, 0))
+        put("admission.share", level / 1e6, "mean", kind=name)
+    for name, count in sorted({**live.counts, **served}.items()):
+        put("count", count, "last", what=name.replace(" ", "_").replace(":", ""))
+    for n, part in ((0.5, "p50"), (1.0, "oldest")):
+        if ages:
+            put(f"readings.age_s.{part}", sorted(ages)[min(len(ages) - 1, int(n * len(ages)))], "max")
+    return found
--- /dev/null
+++ b/ironfall/metrics/service.py
@@ -0,0 +1,99 @@
+"""Metrics of one director: its measurements out every period, readings in, and these to the turn loop."""
+
+import os
+import time
+from pathlib import Path
+from typing import Any
+
+import gevent
+
+from ironfall.metrics import collectd
+from ironfall.metrics.links import CollectdReceiver, CollectdSender, GraphiteReceiver, GraphiteSender, Sender
+from ironfall.metrics.mapping import Mapping
+from ironfall.metrics.measures import points
+from ironfall.metrics.readings import Readings
+from ironfall.metrics.spool import Spool
+from ironfall.metrics.terms import MetricsTerms
+
+SECOND = 10_000
+HAND_EVERY = 0.2  # seconds between two hand-overs of readings: what came between is one event a host
+
+
+class Metrics:
+    def __init__(self, live: Any, terms: MetricsTerms, name: str, seed: int, served: dict[str, int]) -> None:
+        self.live, self.terms, self.name, self.served = live, terms, name, served
+        self.readings = Readings(terms.late / SECOND, terms.ahead / SECOND)
+        self.mapping = Mapping(list(terms.readings))
+        self.password = Path(terms.key_file).read_text().strip() if terms.key_file else ""
+        self.counts: dict[str, int] = {}
+        self.ages: list[float] = []
+        self.senders: list[Sender] = []
+        self.receivers: list[Any] = []
+        # Two directors under one name would overwrite each other's series.
+        self.prefix = f"{terms.prefix}.{name}"
+        if terms.graphite_to:
+            self.senders.append(GraphiteSender(terms.graphite_to, Spool(terms.spool), seed))
+        if terms.collectd_to:
+            every = terms.every / SECOND
+            self.senders.append(CollectdSender(terms.collectd_to, Spool(terms.spool), seed, name, every, self._seal))
+        if terms.graphite_listen:
+            self.receivers.append(GraphiteReceiver(terms.graphite_listen, self.take, terms.connections, terms.lines,
+                                                   self.counts))  # fmt: skip
+        if terms.collectd_listen:
+            secret = {terms.user: self.password}.get if terms.user else None
+            self.receivers.append(CollectdReceiver(terms.collectd_listen, self.take, terms.lines, self.counts,
+                                                   terms.must, secret))  # fmt: skip
+        self.running = [gevent.spawn(self._measure)] if self.senders else []
+        self.running += [gevent.spawn(self._hand)] if self.receivers else []
+
+    def stop(self) -> None:
+        gevent.killall(self.running)
+        for link in [*self.senders, *self.receivers]:
+            link.stop()
+
+    def _seal(self, packet: bytes) -> bytes:
+        if not self.terms.user:
+            return packet
+        if self.terms.must == "encrypted":
+            return collectd.encrypt(packet, self.terms.user, self.password, os.urandom(16))
+        return collectd.sign(packet, self.terms.user, self.password)
+
+    def take(self, series: str, value: float, at: float) -> None:
+        found = self.mapping.find(series)
+        if found is None:
+            self.counts["series not mapped"] = self.counts.get("series not mapped", 0) + 1
+        else:
+            self.readings.take(time.time(), found[0], found[1], value, at)
+
+    def _hand(self) -> None:
+        while True:
+            gevent.sleep(HAND_EVERY)
+            self.hand()
+
+    def hand(self) -> None:
+        """What was read since the last time, as events for the next turn."""
+        wall, now, live = time.time(), self.live.clock.now(), self.live
+        hosts: dict[str, tuple[bytes, float]] = {}
+        for entry in live.roster.entries.values():
+            # A start by the director's clock, as wall time: a reading of the process before is no evidence.
+            started = wall - (now - entry.started) / SECOND if entry.started else 0.0
+            name = entry.host.partition("@")[0]
+            old = self.readings.hosts.get(name)
+            same = old is not None and old.id == entry.id and abs(old.started - started) < 1
+            hosts[name] = (entry.id, old.started if same and old is not None else started)
+        self.readings.listed(hosts)
+        self.ages = []
+        for number, at, gauges in self.readings.hand():
+            age = max(0.0, wall - at)
+            self.ages.append(age)
+            live.put("gauged", number, round(age * SECOND), gauges)
+
+    def _measure(self) -> None:
+        while True:
+            gevent.sleep(self.terms.every / SECOND)
+            sent = {f"{type(s).__name__} {k}": v for s in self.senders for k, v in s.spool.counts.items()}
+            read = {f"readings {k}": v for k, v in self.readings.counts.items()}
+            counts = {**self.served, **self.counts, **sent, **read}
+            for point, how in points(self.live, self.prefix, float(int(time.time())), counts, self.ages):
+                for sender in self.senders:
+                    sender.put(point, how)
--- a/ironfall/metrics/spool.py
+++ b/ironfall/metrics/spool.py
@@ -15,6 +15,7 @@
     value: float
     count: int
     at: float
+    how: str
 
 
 class Spool:
@@ -23,28 +24,31 @@
     def __init__(self, most: int) -> None:
         self.most = most
         self.waiting: OrderedDict[Key, Waiting] = OrderedDict()
-        self.how: dict[str, str] = {}
+        self.rest = 0  # puts until it is worth folding again
         self.counts: Counter[str] = Counter()
 
     def put(self, point: Point, how: str = "last") -> None:
         self.counts["put"] += 1
-        self.how[point.series] = how
-        self._add(self.waiting, (point.series, point.tags, point.at), Waiting(point.value, 1, point.at), how)
-        if len(self.waiting) > self.most:
+        self.rest -= 1
+        self._add(self.waiting, (point.series, point.tags, point.at), Waiting(point.value, 1, point.at, how))
+        if len(self.waiting) > self.most and self.rest <= 0:
+            before = len(self.waiting)
             self._fold()
+            # Folding looks at all that waits. Where it makes little room, a flood of names would pay that for each.
+            self.rest = 0 if 20 * (before - len(self.waiting)) >= self.most else self.most // 20
         while len(self.waiting) > self.most:
             _, lost = self.waiting.popitem(last=False)
             self.counts["dropped"] += lost.count
 
     @staticmethod
-    def _add(into: OrderedDict[Key, Waiting], key: Key, it: Waiting, how: str) -> None:
+    def _add(into: OrderedDict[Key, Waiting], key: Key, it: Waiting) -> None:
         held = into.get(key)
         if held is None:
             into[key] = it
             return
         whole = held.count + it.count
         mean = (held.value * held.count + it.value * it.count) / whole
-        held.value = mean if how == "mean" else max(held.value, it.value) if how == "max" else it.value
+        held.value = mean if it.how == "mean" else max(held.value, it.value) if it.how == "max" else it.value
         held.count, held.at = whole, max(held.at, it.at)
 
     def _fold(self) -> None:
@@ -53,7 +57,7 @@
         folded: OrderedDict[Key, Waiting] = OrderedDict()
         for (series, tags, at), it in self.waiting.items():
             slot = at - at % FOLD if at < newest - FOLD else at
-            self._add(folded, (series, tags, slot), it, self.how.get(series, "last"))
+            self._add(folded, (series, tags, slot), it)
         self.counts["folded"] += len(self.waiting) - len(folded)
         self.waiting = folded
 
--- a/ironfall/terms/__init__.py
+++ b/ironfall/terms/__init__.py
@@ -10,6 +10,8 @@
 from typing import Any
 
 from ironfall.interface import ExchangeClass, ServiceTerms
+from ironfall.metrics.mapping import fault
+from ironfall.metrics.terms import MetricsTerms
 from ironfall.terms.sexp import Fault, Node, Source, Unreadable
 
 __all__ = ["Fault", "Limits", "ProxyTerms", "Terms", "Unreadable", "read_terms", "show"]
@@ -70,6 +72,7 @@
     fall_time: int
     limits: Limits
     proxy: ProxyTerms
+    metrics: MetricsTerms
 
     def zone(self, name: str) -> int:
         return self.zones.index(name)
@@ -192,10 +195,18 @@
     return read
 
 
-_ZERO: dict[Any, Any] = {_time: 0, _size: 0, _number: 0.0, _count: 0, _address: ("", 0), _yes: False}
+def _text(source: Source, node: Node) -> str:
+    if isinstance(node.value, str) and node.value:
+        return node.value
+    source.fault(node.at, f"expected a text in quotes, not {node.word or repr(node.value)}")
+    return ""
+
+
+_ZERO: dict[Any, Any] = {_text: "", _time: 0, _size: 0, _number: 0.0, _count: 0, _address: ("", 0), _yes: False}
 _REPEATABLE = _one_of("never", "keyed", "always")
 _SCOPE = _one_of("all", "zone", "cell")
 _LEVELS = _one_of("share", "none")
+_MUST = _one_of("plain", "signed", "encrypted")
 _LIST = _one_of("watched", "asked")
 
 
@@ -222,6 +233,45 @@
     return name, kind
 
 
+def _metrics(source: Source, form: _Form, gauges: tuple[str, ...]) -> MetricsTerms:
+    usual = MetricsTerms()
+    patterns = []
+    for node in form.all("reading"):
+        pattern, gauge = (node.parts[1].value, node.parts[2].word) if len(node.parts) == 3 else ("", "")
+        if not isinstance(pattern, str) or gauge not in GAUGES:
+            source.fault(node.at, f'expected (reading "PATTERN" GAUGE), the gauge one of {", ".join(GAUGES)}')
+        elif fault(pattern):
+            source.fault(node.parts[1].at, fault(pattern))
+        elif GAUGES[gauge] not in gauges:
+            source.fault(node.parts[2].at, f"this service's hosts have no gauge {gauge}; see (reports (gauges ...))")
+        else:
+            patterns.append((pattern, GAUGES[gauge]))
+    graphite, collectd = form.form("graphite", False), form.form("collectd", False)
+    none = ("", 0)
+    terms = MetricsTerms(
+        prefix=form.get("prefix", _text, usual.prefix),
+        every=form.get("every", _time, usual.every),
+        graphite_to=graphite.get("send", _address, none) if graphite.lists.get("send") else None,
+        graphite_listen=graphite.get("listen", _address, none) if graphite.lists.get("listen") else None,
+        collectd_to=collectd.get("send", _address, none) if collectd.lists.get("send") else None,
+        collectd_listen=collectd.get("listen", _address, none) if collectd.lists.get("listen") else None,
+        must=collectd.get("must", _MUST, "").replace("plain", ""),
+        user=collectd.get("user", _text, ""),
+        key_file=collectd.get("key-file", _text, ""),
+        readings=tuple(patterns),
+        late=form.get("late", _time, usual.late),
+        ahead=form.get("ahead", _time, usual.ahead),
+        connections=form.get("connections", _count, usual.connections),
+        lines=form.get("lines", _count, usual.lines),
+        spool=form.get("spool", _count, usual.spool),
+    )
+    if terms.must and not (terms.user and terms.key_file):
+        source.fault(form.node.at, f"(must {terms.must}) needs (user ...) and (key-file ...)")
+    for part in (graphite, collectd, form):
+        part.done()
+    return terms
+
+
 def _names(source: Source, form: _Form, head: str) -> tuple[str, ...]:
     nodes = form.values_of(head, True) or []
     names = []
@@ -325,6 +375,7 @@
         fall_time=cold.get("within", _time, 3 * SECOND),
         limits=bounds,
         proxy=own,
+        metrics=_metrics(source, top.form("metrics", False), service.gauges),
     )
     for form in (top, channel, cold, reports, probes, listing, limits, proxy, prices):
         form.done()
--- a/tests/play.py
+++ b/tests/play.py
@@ -8,6 +8,7 @@
     from 1 to 9 heard 0 a 8 2 300         each second: 8 tries from zone 0, 2 failed, good ones took 300 ms
     from 1 to 9 came 1 0 40 8             each second: proxy 1 was brought 40 exchanges of class 0, lost 8
     at 3 probe a ok 20                    a probe of a was answered, 20 wait (`lost`: it was not)
+    at 3 gauged a 20 1.5                  others read a second and a half ago that 20 wait there
     expect withdraw a from 3 to 6         such an order within that time; `expect never ...` for none
     expect line 0 a < 0.5 at 9            the weight standing in table 0; also `level CLASS`, `tries CLASS`
     expect messages < 21                  the most moments with orders to all within any ten seconds
@@ -134,6 +135,8 @@
     elif what == "came":
         numbers = [int(word) for word in [*rest, "0"][:4]]
         director.arrived(now, numbers[0], numbers[1], numbers[2], numbers[3])
+    elif what == "gauged":
+        director.gauged(now, host(rest[0]), tenths(rest[2]), {"q": float(rest[1])})
     elif what == "probe":
         director.probed(now, host(rest[0]), rest[1] == "ok", {"q": float(rest[2])})
     else:
--- /dev/null
+++ b/tests/test_metrics_links.py
@@ -0,0 +1,193 @@
+"""Receivers that pause, refuse, reset and come back; senders that flood and lie: serving goes on, the books balance."""
+
+import time
+from dataclasses import replace
+
+import gevent
+import graphyte
+from gevent import socket
+
+from ironfall.metrics import collectd
+from ironfall.metrics.graphite import parse_line
+from ironfall.metrics.links import CollectdSender, GraphiteSender
+from ironfall.metrics.point import Point
+from ironfall.metrics.spool import Spool
+from ironfall.metrics.terms import MetricsTerms
+from tests.rig import Rig, until
+from tests.test_director import bound
+
+HERE = ("127.0.0.1", 0)
+
+
+class Receiver:
+    """A Graphite receiver that can stop reading, close its connections, and go away."""
+
+    def __init__(self):
+        self.lines, self.reads = [], gevent.event.Event()
+        self.reads.set()
+        self.socks = []
+        self.server = gevent.server.StreamServer(HERE, self.serve)
+        self.server.start()
+        self.address = ("127.0.0.1", self.server.server_port)
+
+    def serve(self, sock, _address):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.socks.append(sock)
+        held = b""
+        try:
+            while True:
+                self.reads.wait()
+                data = sock.recv(4096)
+                if not data:
+                    return
+                held += data
+                *whole, held = held.split(b"\n")
+                self.lines += [parse_line(line) for line in whole]
+        except OSError:
+            pass
+
+    def reset(self):
+        for sock in self.socks:
+            sock.close()
+        self.socks.clear()
+
+
+def books(spool):
+    return spool.counts["put"] == spool.counts["sent"] + spool.counts["dropped"] + spool.held
+
+
+def known(running, name):
+    hosts = running.live.decisions.hosts.values()
+    return next(h for h in hosts if running.live.roster.hosts[h.id].startswith(f"{name}@"))
+
+
+def rig(**metrics):
+    terms = MetricsTerms(every=200, readings=(("servers.{host}.inflight", "rif"),), **metrics)
+    return Rig(metrics=terms)
+
+
+def test_measurements_arrive_under_the_directors_name():
+    receiver = Receiver()
+    with rig(graphite_to=receiver.address) as running:
+        bound(running)
+        until(lambda: any(p.series.endswith("order_to_applied_ms.p99") and p.value > 0 for p in receiver.lines))
+        names = {p.series for p in receiver.lines}
+        assert all(name.startswith("ironfall.director.") for name in names)
+        assert {"ironfall.director.turn_ms.p99", "ironfall.director.polls.held"} <= names
+
+
+def test_a_receiver_that_reads_nothing_costs_counted_points_and_no_serving():
+    receiver = Receiver()
+    with rig(graphite_to=receiver.address, spool=300) as running:
+        spool = running.program.metrics.senders[0].spool
+        until(lambda: receiver.lines)
+        receiver.reads.clear()
+        filler = Point("filler", 0.0, 0.0)
+        for n in range(200_000):  # far more than the socket's buffers and the spool hold
+            spool.put(replace(filler, at=float(n % 5000), series=f"filler{n}"))
+            if n % 500 == 0:
+                gevent.sleep(0)
+                assert len(spool.waiting) <= 300
+        assert spool.counts["dropped"] > 0 and books(spool)
+        begun = time.monotonic()
+        for n in range(5):
+            bound(running, f"p{n}")
+        assert time.monotonic() - begun < 20
+        receiver.reads.set()
+        spool_was = spool.counts["sent"]
+        until(lambda: spool.counts["sent"] > spool_was, 20)
+        assert books(spool)
+
+
+def test_a_receiver_that_resets_goes_away_and_comes_back():
+    receiver = Receiver()
+    spool = Spool(10_000)
+    sender = GraphiteSender(receiver.address, spool, 1)
+    for n in range(10):
+        sender.put(Point("a", float(n), 1.0 + n))
+    until(lambda: len(receiver.lines) == 10)
+    receiver.reset()
+    receiver.server.stop()
+    gevent.sleep(0.05)
+    for n in range(10, 20):
+        sender.put(Point("a", float(n), 1.0 + n))
+    until(lambda: spool.counts["refusals"] + spool.counts["failures"] > 0)
+    receiver.server = gevent.server.StreamServer(receiver.address, receiver.serve)
+    receiver.server.start()
+    until(lambda: {p.value for p in receiver.lines} == {float(n) for n in range(20)}, 20)
+    until(lambda: not spool.waiting)
+    assert books(spool) and spool.counts["sent"] == 20
+    sender.stop()
+
+
+def test_readings_come_by_graphite_and_by_the_client_library():
+    with rig(graphite_listen=HERE) as running:
+        receiver, readings = running.program.metrics.receivers[0], running.program.metrics.readings
+        until(lambda: readings.hosts)
+        client = graphyte.Sender("127.0.0.1", port=receiver.port)
+        gevent.get_hub().threadpool.apply(client.send, ("servers.h1.inflight", 7))
+        host = known(running, "h1")
+        until(lambda: host.held == 7.0)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        at = time.time() + 1
+        lines = f"servers.h1.inflight 9 {at:.0f}\nservers.h99.inflight 1 {at:.0f}\nx 1 1"
+        sock.sendto(lines.encode(), ("127.0.0.1", receiver.port))
+        until(lambda: host.held == 9.0)
+        assert readings.counts["unknown host"] == 1
+
+
+def test_a_storm_of_names_and_of_nonsense_leaves_the_director_serving():
+    with rig(graphite_listen=HERE, lines=1_000_000) as running:
+        metrics = running.program.metrics
+        sock = socket.create_connection(("127.0.0.1", metrics.receivers[0].port))
+
+        def storm():
+            for n in range(0, 50_000, 500):
+                sock.sendall(b"".join(b"storm.n%d.x 1 1700000000\n\xff\xfe\n" % (n + k) for k in range(500)))
+
+        job = gevent.spawn(storm)
+        bound(running)
+        job.get(timeout=30)
+        until(lambda: metrics.counts.get("graphite lines malformed") == 50_000, 20)
+        assert metrics.counts["series not mapped"] == 50_000
+        assert len(metrics.readings.hosts) <= 6
+
+
+def test_lines_over_the_rate_are_passed_over():
+    with rig(graphite_listen=HERE, lines=10) as running:
+        sock = socket.create_connection(("127.0.0.1", running.program.metrics.receivers[0].port))
+        sock.sendall(b"a.b 1 2\n" * 1000)
+        counts = running.program.metrics.counts
+        until(lambda: counts.get("graphite lines over the rate", 0) >= 900)
+
+
+def test_collectd_packets_signed_as_asked_are_read_and_others_refused(tmp_path):
+    (tmp_path / "key").write_text("a secret\n")
+    patterns = (("{host}.exchanges.gauge-inflight", "rif"),)
+    key = str(tmp_path / "key")
+    terms = MetricsTerms(collectd_listen=HERE, must="signed", user="ops", key_file=key, readings=patterns)
+    with Rig(metrics=terms) as running:
+        metrics = running.program.metrics
+        until(lambda: metrics.readings.hosts)
+        to = ("127.0.0.1", metrics.receivers[0].port)
+        one = collectd.ValueList("h2", "exchanges", "", "gauge", "inflight", time.time(), 1.0, [(collectd.GAUGE, 5.0)])
+        packet = collectd.encode([one])[0]
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        wrong, right = (collectd.sign(packet, "ops", password) for password in ("wrong", "a secret"))
+        for data in (packet, wrong, b"\0" * 40, right):
+            sock.sendto(data, to)
+        host = known(running, "h2")
+        until(lambda: host.held == 5.0)
+        assert metrics.counts["collectd packets malformed"] == 3
+
+
+def test_collectd_out_is_what_collectd_reads():
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.bind(HERE)
+    sock.settimeout(5)
+    sender = CollectdSender(sock.getsockname(), Spool(100), 1, "d1", 1.0)
+    sender.put(Point("ironfall.turn_ms.p99", 2.5, 1_700_000_000.0))
+    (one,) = collectd.decode(sock.recv(2000))
+    assert (one.host, one.plugin, one.type, one.type_instance) == ("d1", "ironfall", "gauge", "turn_ms.p99")
+    assert one.at == 1_700_000_000.0 and one.values == [(collectd.GAUGE, 2.5)]
+    sender.stop()
