--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -330,4 +330,5 @@
             "levels": {self.terms.classes[k]: v / 1e6 for k, (v, _) in live.publication.admits.items()},
             "counts": {**live.counts, **self.server.counts, **self.metrics.counts},
             "readings": dict(self.metrics.readings.counts),
+            "spools": [{**s.spool.counts, "held": s.spool.held} for s in self.metrics.senders],
         }  # fmt: skip
