--- a/ironfall/api/http.py
+++ b/ironfall/api/http.py
@@ -5,7 +5,6 @@
 holds up another connection.
 """
 
-import errno
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -105,9 +104,7 @@
             return True
         except BlockingIOError:
             return False
-        except OSError as cause:
-            if cause.errno in (errno.EAGAIN, errno.EWOULDBLOCK):
-                return False
+        except OSError:
             raise Gone from None
 
 
@@ -168,7 +165,6 @@
                  handle: Callable[[Request], Answer]) -> None:  # fmt: skip
         self.bounds, self.handle = bounds, handle
         self.open = 0
-        self.turned_away = 0
         self.counts: dict[str, int] = {}
         self.server = StreamServer(listener, self._serve, backlog=1024)
 
--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -50,7 +50,7 @@
         bounds = Bounds(limits.held, limits.body, limits.header_time / SECOND, limits.idle / SECOND,
                         limits.write_time / SECOND)  # fmt: skip
         self.server = HttpServer(terms.listen, bounds, self.handle)
-        self.asked = Event()
+        self.asked, self.done = Event(), Event()
         self.links: dict[str, Link] = {}
         self.probing: set[str] = set()
         self.loop: gevent.Greenlet | None = None
@@ -70,7 +70,6 @@
 
     def wait(self) -> int:
         """Until SIGTERM or SIGINT; 0, or 1 when the decisions broke."""
-        self.done = Event()
         for which in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(which, self.stop)
         self.done.wait()
@@ -82,8 +81,7 @@
         self.server.stop(1.0)
         self.metrics.stop()
         self.log.info("stopped", turns=self.live.lengths.get_total_count())
-        if hasattr(self, "done"):
-            self.done.set()
+        self.done.set()
 
     def _broken(self, loop: gevent.Greenlet) -> None:
         # Better no director than one that no longer decides: proxies keep their tables or find another.
@@ -193,9 +191,7 @@
             raise Refused(400, str(wrong)) from None
 
     def _encode(self, request: Request, message: Any) -> Answer:
-        accept, encodings = request.headers.get("accept", ""), request.headers.get("accept-encoding", "")
-        body, headers = codec.encode(message, accept, encodings)
-        return Answer(200, body, headers)
+        return Answer(200, *codec.encode(message, *_accepted(request)))
 
     def _session(self, token: str) -> Session:
         session = self.live.sessions.by_token.get(token)
@@ -266,8 +262,7 @@
                 delta = self._news(session, version, whole)
                 if delta is not None:
                     carried = [(m.version, int(m.leaves - m.ordered) * 100, round(m.lines)) for m in session.carried]
-                    accept, encodings = request.headers.get("accept", ""), request.headers.get("accept-encoding", "")
-                    return Answer(200, *codec.encode_state(delta, carried, accept, encodings))
+                    return Answer(200, *codec.encode_state(delta, carried, *_accepted(request)))
                 event.clear()
                 left = until - time.monotonic()
                 if left <= 0 or not request.hold(event, left):
@@ -332,3 +327,8 @@
             "readings": dict(self.metrics.readings.counts),
             "spools": [{**s.spool.counts, "held": s.spool.held} for s in self.metrics.senders],
         }  # fmt: skip
+
+
+def _accepted(request: Request) -> tuple[str, str]:
+    """The forms and the encodings that the peer takes."""
+    return request.headers.get("accept", ""), request.headers.get("accept-encoding", "")
--- a/ironfall/lab/hosts.py
+++ b/ironfall/lab/hosts.py
@@ -19,7 +19,7 @@
 
 from ironfall.api.exchange import Outbox, frame, frames
 from ironfall.generated import ironfall_pb2 as pb
-from ironfall.lab.day import Day, HostLine
+from ironfall.lab.day import Day, HostLine, part_of, seconds_of
 from ironfall.terms import Terms
 
 KEEPS_KEYS, KEY_GAIN, KEYS_MOST = 5.0, 0.2, 500
@@ -71,7 +71,6 @@
         self.fell = False
         self.errors, self.slow, self.paused_until = 0.0, 1.0, 0.0
         self.failing_class = -1
-        self.draining = False
         self.running = self.waiting = 0
         self._new()
 
@@ -328,8 +327,6 @@
 
     def trouble(self, what: str, words: list[str], seconds: float) -> None:
         """One trouble begins. What lasts ends by itself."""
-        from ironfall.lab.day import part_of, seconds_of
-
         host = self.hosts.get(words[0]) if words else None
         if what == "lose":
             for one in [h for h in self.hosts.values() if h.zone == words[0]]:
@@ -352,7 +349,6 @@
             host.hung.clear()
             gevent.spawn_later(seconds, host.hung.set)
         elif what == "drain":
-            host.draining = True
             self.listed(host, "draining", 0.1)
             gevent.spawn_later(seconds, self._drained, host)
         elif what == "unlist":
--- a/ironfall/lab/judge.py
+++ b/ironfall/lab/judge.py
@@ -103,6 +103,7 @@
         self.asked: dict[int, tuple[int, int]] = {}
         self.ended: dict[int, tuple[int, int]] = {}
         self.lag = 0.0
+        self.spans: dict[str, list[tuple[int, int]]] = {}  # of each director, when a ready, warm host was listed
 
     # reading
 
@@ -155,8 +156,7 @@
     def _on_still(self, t: int, row: dict[str, Any]) -> None:
         self._contact(t, row, self.proxies[row["who"]])
 
-    def _on_session_ended(self, t: int, row: dict[str, Any]) -> None:
-        self._contact(t, row, self.proxies[row["who"]])
+    _on_session_ended = _on_still  # an answer too, if a last one
 
     def _on_cut(self, t: int, row: dict[str, Any]) -> None:
         # A connection that was closed was there until then; one that went silent may have been cut long before.
@@ -255,9 +255,7 @@
         return False, min((b for b, _ in spans if b > at), default=1 << 62)
 
     def _spans(self, director: str) -> list[tuple[int, int]]:
-        if not hasattr(self, "_span_memo"):
-            self._span_memo: dict[str, list[tuple[int, int]]] = {}
-        if director not in self._span_memo:
+        if director not in self.spans:
             spans = []
             for told in self.known.get(director, {}).values():
                 for n, (t, state, began) in enumerate(told):
@@ -271,8 +269,8 @@
                     merged[-1] = (merged[-1][0], max(ends, merged[-1][1]))
                 else:
                     merged.append((begins, ends))
-            self._span_memo[director] = merged
-        return self._span_memo[director]
+            self.spans[director] = merged
+        return self.spans[director]
 
     def _twice(self) -> None:
         rule = self.rules["twice"]
--- a/ironfall/lab/play.py
+++ b/ironfall/lab/play.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -17,7 +18,7 @@
 from gevent.server import StreamServer
 
 from ironfall.lab.clients import rates
-from ironfall.lab.day import Day, Trouble, load, part_of
+from ironfall.lab.day import Day, Trouble, load, part_of, seconds_of
 from ironfall.lab.hosts import Fleet
 from ironfall.lab.judge import Judge, Verdict
 from ironfall.lab.registry import Registry
@@ -100,6 +101,7 @@
         self.chance = random.Random(seed)
         self.running: dict[str, subprocess.Popen[bytes]] = {}
         self.wires: list[Wire] = []
+        self.starts_of = Counter[str]()  # of each director
         self.net = f"127.{1 + os.getpid() % 254}"
         self.ip = f"{self.net}.0.1"
         folder.mkdir(parents=True, exist_ok=True)
@@ -179,8 +181,8 @@
 
     def _start_director(self, name: str) -> None:
         zone = dict(self.day.directors)[name]
-        self.starts_of = getattr(self, "starts_of", {})
-        count = self.starts_of[name] = self.starts_of.get(name, 0) + 1
+        self.starts_of[name] += 1
+        count = self.starts_of[name]
         seed = self.seed * 1000 + sorted(self.director_at).index(name) * 100 + count
         self._start(name, "--log", "json", "lab", "director", str(self.terms_file), "--as", self.director, "--listen",
                     _text(self.director_at[name]), "--registry", _text(self.registry), "--name", name, "--zone", zone,
@@ -218,7 +220,7 @@
             for wire in self.wires:
                 wire.drop(part_of(words[0]), self.chance)
         elif what == "late":
-            self._command("late", [], float(words[0].rstrip("s")))
+            self._command("late", [], seconds_of(words[0]))
             gevent.spawn_later(seconds, self._command, "late", [], 0.0)
         else:
             if what == "cut":
--- a/ironfall/metrics/measures.py
+++ b/ironfall/metrics/measures.py
@@ -30,10 +30,9 @@
     put("publication.withdrawn", len(live.publication.outs), "mean")
     put("hosts.listed", len(live.roster.entries), "mean")
     put("own.stalls", live.clock.stalls)
-    held = by_zone = 0
+    held = 0
     for zone, name in enumerate(live.terms.zones):
         mine = [s for s in live.sessions.by_token.values() if s.zone == zone]
-        by_zone += len(mine)
         held += sum(s.held for s in mine)
         put("proxies.joined", len(mine), "mean", zone=name)
     put("polls.held", held, "mean")
