Keep, file, plot and read more of what is measured; hosts' own collectd in the laboratory

Change: checked records, a bounded ring of files and an overflow behind the spool; whisper files and metrics plot; collectd JSON by POST /v1/readings, PUTVAL, types.db, counters as rates, scales; lines and messages by zone, withdrawals by cause; emulated collectd on each host, late, repeated and untrue. Readings of one host are handed on moment by moment.

--- /dev/null
+++ b/deploy/terms/resale-both.sexp
@@ -0,0 +1,18 @@
+; As resale, and the hosts' own collectd tells what they hold, beside the probes.
+(service "resale"
+  (zones "harbour" "hill" "plain")
+  (class "listing" (expected 2s)    (abandon 6s) (earnings 3) (repeatable always))
+  (class "hold"    (expected 1200ms) (abandon 4s) (earnings 2) (repeatable keyed) (key-scope all) (key-life 8s))
+  (class "settle"  (expected 2s)    (abandon 6s) (earnings 2) (repeatable never))
+  (grace 3s)
+  (bare 6s)
+  (cold (share 0.2) (time 10s) (multiple 4) (within 2s))
+  (channel (queue 3000) (pace 3000) (head 6) (messages 20) (span 10s) (slowest 600ms))
+  (reports (every 1s) (lines 200) (gauges inflight))
+  (probes (allowed yes) (price 0.02) (timeout 300ms))
+  (prices (crossing 0.12))
+  (proxies 9)
+  (list (registry "127.0.0.1:7600") (mode asked))
+  (metrics (collectd (listen "127.0.0.1:7604")) (reading "{host}.exchanges.gauge-inflight" inflight))
+  (listen "127.0.0.1:7601")
+  (proxy (standing 6) (shun-after 3) (shun-time 4s)))
--- a/ironfall/cli.py
+++ b/ironfall/cli.py
@@ -96,10 +96,12 @@
 
 
 def _run_director(file: Path, listen: Any, registry: Any, name: str, zone: str, seed: int | None,
-                  record: Path | None, decide: Any) -> None:  # fmt: skip
+                  record: Path | None, decide: Any, readings: Any = None) -> None:  # fmt: skip
     from ironfall.director.program import Program
 
     read = terms_from(file)
+    if readings:
+        read = replace(read, metrics=replace(read.metrics, collectd_listen=readings))
     read = replace(read, listen=listen or read.listen, registry=registry or read.registry)
     if zone and zone not in read.zones:
         raise click.BadParameter(f"{zone!r} is none of the zones {', '.join(read.zones)}")
@@ -171,11 +173,12 @@
         sys.exit(1)
     found = Mapping(list(read.readings)).find(point.series)
     if found is None:
-        patterns = ", ".join(pattern for pattern, _ in read.readings) or "none"
+        patterns = ", ".join(pattern for pattern, _, _ in read.readings) or "none"
         click.echo(f"{point.series} fits no reading; the patterns are: {patterns}")
         sys.exit(1)
+    host, gauge, scale = found
     age = time.time() - point.at if point.at else 0.0
-    click.echo(f"a reading of {found[1]} of the host called {found[0]}: {point.value:g}, {age:.1f}s old")
+    click.echo(f"a reading of {gauge} of the host called {host}: {point.value * scale:g}, {age:.1f}s old")
     if age > read.late / 10_000:
         click.echo(f"left out: older than (late {read.late / 10_000:g}s)")
         sys.exit(1)
@@ -185,6 +188,60 @@
     click.echo("taken, if the host is listed, started before it, and no newer reading has come")
 
 
+@metrics.command("plot")
+@click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+@click.argument("series", nargs=-1)
+@click.option("--last", default="1h", show_default=True, help="How far back the window goes: 90s, 15min, 2h, 3d.")
+@click.option("--until", type=float, help="Where it ends, in seconds since 1970; now if left out.")
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), help="A PNG; to the terminal if left out.")
+def metrics_plot(folder: Path, series: tuple[str, ...], last: str, until: float | None, out: Path | None) -> None:
+    """Draw SERIES of the round-robin files in FOLDER; `*` and `?` fit many. Without SERIES: say which there are.
+
+    \b
+    Example:
+      ironfall metrics plot rounds 'ironfall.*.order_to_applied_ms.*' --last 15min --out applied.png
+    """
+    import time
+    from fnmatch import fnmatchcase
+
+    from ironfall.metrics import plot
+    from ironfall.metrics.point import Malformed
+    from ironfall.metrics.rounds import series_of, window
+
+    there = series_of(folder)
+    if not series:
+        click.echo("\n".join(there) or f"{folder} has no series")
+        return
+    names = [name for name in there if any(fnmatchcase(name, pattern) for pattern in series)]
+    if not names:
+        click.echo(f"no series in {folder} fits {', '.join(series)}", err=True)
+        sys.exit(2)
+    if len(names) > 40:
+        click.echo(f"{len(names)} series fit; at most 40 are drawn at once", err=True)
+        sys.exit(2)
+    try:
+        ends = until or time.time()
+        begins = ends - _seconds_back(last)
+        drawn = [(name, window(there[name], begins, ends)) for name in names]
+    except Malformed as wrong:
+        click.echo(wrong, err=True)
+        sys.exit(2)
+    if out:
+        plot.png(out, drawn, begins, ends)
+        click.echo(f"{out}: {len(drawn)} series")
+    else:
+        click.echo("\n\n".join(plot.text(name, points, begins, ends) for name, points in drawn))
+
+
+def _seconds_back(text: str) -> float:
+    from ironfall.metrics.point import Malformed
+
+    for unit, seconds in (("min", 60), ("s", 1), ("h", 3600), ("d", 86400)):
+        if text.endswith(unit) and text[: -len(unit)].replace(".", "", 1).isdigit():
+            return float(text[: -len(unit)]) * seconds
+    raise Malformed(f"{text!r} is no time such as 90s, 15min, 2h or 3d")
+
+
 @main.command()
 @click.argument("file", type=FILE)
 @click.argument("turns", type=FILE)
@@ -256,6 +313,7 @@
 @lab.command("director")
 @director_options
 @click.option("--as", "policy", default="ironfall", help="ironfall, a baseline, or a wrong one; see lab/others.py.")
+@click.option("--readings", type=ADDRESS, help="Where to listen for collectd, in place of the terms' address.")
 def lab_director(file: Path, policy: str, **about: Any) -> None:
     """Run a director with another's decisions: baselines, and wrong ones to try the judge on."""
     from ironfall.lab.others import DIRECTORS
@@ -272,7 +330,9 @@
 @click.option("--tape", type=click.Path(path_type=Path), required=True)
 @click.option("--seed", type=int, default=1)
 @click.option("--net", default="127.0", help="The first half of the hosts' loopback addresses.")
-def lab_hosts(day: Path, registry: Any, control: Any, tape: Path, seed: int, net: str) -> None:
+@click.option("--readings", multiple=True, help="ZONE,HOST:PORT of a director that hosts' collectd sends to.")
+def lab_hosts(day: Path, registry: Any, control: Any, tape: Path, seed: int, net: str,
+              readings: tuple[str, ...]) -> None:  # fmt: skip
     """Run the emulated hosts of DAY and a stand-in for their registry, until SIGTERM."""
     import gevent
 
@@ -281,7 +341,8 @@
     from ironfall.lab.tape import Tape
 
     written, read = Tape(tape), load(day)
-    served = gevent.spawn(serve_fleet, read, terms_of(read), registry, control, written, seed, net)
+    to = [(zone, ADDRESS.convert(address, None, None)) for zone, _, address in (r.partition(",") for r in readings)]
+    served = gevent.spawn(serve_fleet, read, terms_of(read), registry, control, written, seed, net, to)
     served.link_exception(lambda _: sys.exit(1))
     until_told(written)
 
@@ -311,14 +372,15 @@
 @click.option("--folder", type=click.Path(path_type=Path), default=Path("runs/last"), show_default=True)
 @click.option("--json", "plain", is_flag=True, help="The report as JSON.")
 @click.option("--quiet", is_flag=True, help="No progress on stderr.")
-def lab_play(day: Path, policy: str, seed: int, folder: Path, plain: bool, quiet: bool) -> None:
+@click.option("--terms", "other", type=FILE, help="In place of the terms that the day names.")
+def lab_play(day: Path, policy: str, seed: int, folder: Path, plain: bool, quiet: bool, other: Path | None) -> None:
     """Play DAY over loopback sockets and judge it: exit 1 if a rule is broken, 2 if it could not be played.
 
     \b
     Example:
       ironfall lab play deploy/days/bad.day --as even --seed 3
     """
-    from ironfall.lab.day import BadDay, load
+    from ironfall.lab.day import BadDay, by_other_terms, load
     from ironfall.lab.others import DIRECTORS
     from ironfall.lab.play import LAG_MOST, Conductor, NotPlayed
     from ironfall.lab.report import as_json, as_text
@@ -331,6 +393,7 @@
             click.echo(text, err=True)
 
     try:
+        day = by_other_terms(day, other, folder / "played.day") if other else day
         played = Conductor(load(day), folder, policy, seed, say).play()
     except (BadDay, Unreadable, NotPlayed, OSError) as wrong:
         click.echo(wrong, err=True)
--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -21,6 +21,7 @@
 from ironfall.director.turns import Decide, Live
 from ironfall.generated import ironfall_pb2 as pb
 from ironfall.logic import Director
+from ironfall.metrics.point import Malformed
 from ironfall.metrics.service import Metrics
 from ironfall.publication import Delta
 from ironfall.terms import Terms
@@ -174,13 +175,15 @@
             return self._poll(request)
         if route == ("POST", "/v1/sums"):
             return self._sums(request)
+        if route == ("POST", "/v1/readings"):
+            return self._readings(request)
         if route == ("POST", "/v1/join"):
             return self._join(request)
         if route == ("POST", "/v1/leave"):
             return self._leave(request)
         if route == ("GET", "/v1/status"):
             return Answer(200, json.dumps(self.status(), indent=1).encode() + b"\n", {"Content-Type": codec.JSON})
-        known = ("/v1/poll", "/v1/sums", "/v1/join", "/v1/leave", "/v1/status")
+        known = ("/v1/poll", "/v1/sums", "/v1/join", "/v1/leave", "/v1/readings", "/v1/status")
         raise Refused(405 if request.path in known else 404, f"no {request.method} {request.path} here")
 
     def _decode(self, kind: type[Any], request: Request) -> Any:
@@ -309,6 +312,17 @@
             live.intake.add_came(session.number, came.kind, came.came, min(came.lost, came.came))
         return Answer(204)
 
+    def _readings(self, request: Request) -> Answer:
+        if not self.terms.metrics.readings:
+            raise Refused(404, "the terms of this service name no readings")
+        if self.terms.metrics.must:
+            raise Refused(403, f"readings must be {self.terms.metrics.must}, which a post is not")
+        try:
+            count = self.metrics.posted(bytes(request.body))
+        except Malformed as wrong:
+            raise Refused(400, str(wrong)) from None
+        return Answer(200, json.dumps({"lists": count}).encode() + b"\n", {"Content-Type": codec.JSON})
+
     def status(self) -> dict[str, Any]:
         live = self.live
 
@@ -325,7 +339,7 @@
             "levels": {self.terms.classes[k]: v / 1e6 for k, (v, _) in live.publication.admits.items()},
             "counts": {**live.counts, **self.server.counts, **self.metrics.counts},
             "readings": dict(self.metrics.readings.counts),
-            "spools": [{**s.spool.counts, "held": s.spool.held} for s in self.metrics.senders],
+            "spools": [s.books for s in self.metrics.senders],
         }  # fmt: skip
 
 
--- a/ironfall/director/turns.py
+++ b/ironfall/director/turns.py
@@ -68,6 +68,7 @@
         self.live.publication.withdraw(name, out)
         self.orders.append(["withdraw", host.hex(), out])
         evidence = explain.withdrawal(self.live.decisions, host, self.live.at)
+        self.live.count(f"withdrawals: {evidence.get('cause', 'unknown').partition(':')[0]}" if out else "returns")
         self.said.append(("withdraw" if out else "return", {"host": name, **evidence}))
 
     def admit(self, table: int, classes: int, level: float, tries: int) -> None:
@@ -123,6 +124,7 @@
         self.stir = Event()
         self.stopping = False
         self.counts: dict[str, int] = {}
+        self.by_zone = [(0.0, 0)] * len(terms.zones)  # lines and messages that left, to proxies still there
         self.lengths = HdrHistogram(1, 60_000_000, 3)  # microseconds of a turn
         self.waits = HdrHistogram(1, 60_000_000, 3)  # from event to the turn that takes it
         self.applies = HdrHistogram(1, 600_000_000, 3)  # from order to the proxy's confirmation
@@ -272,6 +274,8 @@
             if message.whole:
                 session.resync, session.whole_at = False, message.version
             session.carried.append(message)
+            lines, messages = self.by_zone[session.zone]
+            self.by_zone[session.zone] = (lines + message.lines, messages + 1)
             message.leaves = now
             session.wake()
 
--- a/ironfall/lab/day.py
+++ b/ironfall/lab/day.py
@@ -9,6 +9,8 @@
     class listing share 40% work 90ms              mean of the work at speed 1
     retries 1                                      a client's own, where that is safe
     cold start 0.25 time 8s                        as hosts really warm; the terms promise no less
+    readings every 500ms delay 100ms spread 3s late 10% repeat 5% skew 0s
+                                                   each host's, by collectd, where the terms name such
     at 6s crash h03 for 8s                         see TROUBLES
 
 >>> day = read_day("x", "terms t.sexp\\nlength 9s\\nhosts a 2 cores 2\\nproxies a 1\\ndirector a\\ndemand 5\\n"
@@ -28,10 +30,10 @@
 TROUBLES = {
     "crash": "h", "restart": "h", "vanish": "h", "hang": "h", "drain": "h", "errors": "hp", "slow": "hx", "pause": "ht",
     "classfail": "hc", "swap": "hh", "refuse": "h", "lose": "z", "cut": "z", "break": "p", "kill": "d", "stop": "d",
-    "unlist": "h", "late": "t",
+    "unlist": "h", "late": "t", "lie": "hx", "unread": "h",
 }  # fmt: skip
 LASTING = {"crash", "vanish", "hang", "errors", "slow", "pause", "classfail", "lose", "cut", "kill", "stop", "drain",
-           "refuse", "unlist", "late"}  # fmt: skip
+           "refuse", "unlist", "late", "lie", "unread"}  # fmt: skip
 
 
 class BadDay(Exception):
@@ -64,6 +66,18 @@
     work: float = 0.05
 
 
+@dataclass
+class ReadingsLine:
+    """What hosts' own collectd sends of them: how often, and how badly it comes. Times are seconds."""
+
+    every: float = 1.0
+    delay: float = 0.05
+    spread: float = 3.0  # of those that come late, up to this much more
+    late: float = 0.0  # the part of them that does
+    repeat: float = 0.0  # the part that is sent twice
+    skew: float = 0.0  # by which the senders' clock is behind
+
+
 @dataclass
 class Day:
     file: str = ""
@@ -78,6 +92,7 @@
     cold_start: float = 0.3
     cold_time: float = 8.0
     keys: int = 800
+    readings: ReadingsLine | None = None
     troubles: list[Trouble] = field(default_factory=list)
 
 
@@ -169,6 +184,9 @@
         day.retries = int(line.number("a number of retries"))
     elif head == "keys":
         day.keys = max(1, int(line.number("a number of keys")))
+    elif head == "readings":
+        day.readings = ReadingsLine(**line.named(every=line.time, delay=line.time, spread=line.time, late=line.part,
+                                                 repeat=line.part, skew=line.time))  # type: ignore[arg-type]  # fmt: skip
     elif head == "cold":
         about = line.named(start=lambda: line.number("a share"), time=line.time)
         day.cold_start, day.cold_time = float(about.get("start", 0.3)), float(about.get("time", 8.0))  # type: ignore[arg-type]
@@ -219,3 +237,12 @@
 
 def load(path: str | Path) -> Day:
     return read_day(str(path), Path(path).read_text())
+
+
+def by_other_terms(path: Path, terms: Path, to: Path) -> Path:
+    """A copy of a day that goes by other terms, written to `to`."""
+    lines = path.read_text().splitlines()
+    words = [f"terms {terms.resolve()}" if line.split()[:1] == ["terms"] else line for line in lines]
+    to.parent.mkdir(parents=True, exist_ok=True)
+    to.write_text("\n".join(words) + "\n")
+    return to
--- a/ironfall/lab/hosts.py
+++ b/ironfall/lab/hosts.py
@@ -71,6 +71,7 @@
         self.fell = False
         self.errors, self.slow, self.paused_until = 0.0, 1.0, 0.0
         self.failing_class = -1
+        self.lies, self.unread = 1.0, False  # what its collectd makes of its gauges
         self.running = self.waiting = 0
         self._new()
 
@@ -283,7 +284,9 @@
         self.day, self.terms, self.teller = day, terms, teller
         self.chance = random.Random(seed)
         self.cut: set[str] = set()
-        self.reports = bool(terms.service.gauges) and not terms.service.may_probe
+        # Gauges come with answers only where there is no other way to them.
+        read = bool(day.readings and terms.metrics.readings)
+        self.reports = bool(terms.service.gauges) and not terms.service.may_probe and not read
         self.works = [day.classes[name].work for name in terms.classes]
         self.tokens: dict[int, float] = {}
         self.hosts: dict[str, Host] = {}
@@ -369,6 +372,12 @@
             gevent.spawn_later(seconds, setattr, host, "failing_class", -1)
         elif what == "pause":
             gevent.spawn(self._pauses, host, seconds_of(words[1]), seconds)
+        elif what == "lie":
+            host.lies = float(words[1])
+            gevent.spawn_later(seconds, setattr, host, "lies", 1.0)
+        elif what == "unread":
+            host.unread = True
+            gevent.spawn_later(seconds, setattr, host, "unread", False)
         elif what == "swap":
             self._swap(host, self.hosts[words[1]])
         else:
--- a/ironfall/lab/play.py
+++ b/ironfall/lab/play.py
@@ -21,6 +21,7 @@
 from ironfall.lab.day import Day, Trouble, load, part_of, seconds_of
 from ironfall.lab.hosts import Fleet
 from ironfall.lab.judge import Judge, Verdict
+from ironfall.lab.nodes import Nodes, To
 from ironfall.lab.registry import Registry
 from ironfall.lab.tape import SECOND, Tape, read
 from ironfall.lab.wires import Wire
@@ -52,12 +53,15 @@
 
 
 def serve_fleet(day: Day, terms: Terms, registry: tuple[str, int], control: tuple[str, int], tape: Tape,
-                seed: int, net: str) -> None:  # fmt: skip
-    """The process of hosts and registry; troubles come as lines of JSON on the control address."""
+                seed: int, net: str, readings: list[To]) -> None:  # fmt: skip
+    """The process of hosts and registry; troubles come as lines of JSON on the control address. `readings`: the
+    directors that hosts' own collectd sends to."""
     fleet = Fleet(day, terms, tape.teller, seed, net)
     listing = Registry(registry, fleet, tape.teller("registry"))
     fleet.start()
     listing.start()
+    if day.readings and readings:
+        Nodes(fleet, day.readings, readings, seed)
 
     def command(sock: socket.socket, _address: Any) -> None:
         with sock.makefile("rw") as lines:
@@ -140,8 +144,15 @@
         self.director_at = {name: (self.ip, ports[2 + n]) for n, (name, _) in enumerate(day.directors)}
         proxies = {name: (self.ip, ports[2 + len(day.directors) + n]) for n, (name, _) in enumerate(day.proxies)}
         self.registry = registry
+        self.read_at: dict[str, tuple[str, int]] = {}
+        if day.readings and self.terms.metrics.readings:
+            self.read_at = dict(zip(self.director_at, [(self.ip, p) for p in free_ports(self.ip, len(day.directors))],
+                                    strict=True))  # fmt: skip
+        read = [w for name, zone in day.directors if name in self.read_at
+                for w in ("--readings", f"{zone},{_text(self.read_at[name])}")]  # fmt: skip
         self._start("hosts", "lab", "hosts", day.file, "--registry", _text(registry), "--control", _text(self.control),
-                    "--tape", str(self.folder / "hosts.tape"), "--seed", str(self.seed), "--net", self.net)  # fmt: skip
+                    "--tape", str(self.folder / "hosts.tape"), "--seed", str(self.seed), "--net", self.net,
+                    *read)  # fmt: skip
         for name, _ in day.directors:
             self._start_director(name)
         self._there("hosts", self.control)
@@ -184,9 +195,10 @@
         self.starts_of[name] += 1
         count = self.starts_of[name]
         seed = self.seed * 1000 + sorted(self.director_at).index(name) * 100 + count
+        read = ["--readings", _text(self.read_at[name])] if name in self.read_at else []
         self._start(name, "--log", "json", "lab", "director", str(self.terms_file), "--as", self.director, "--listen",
                     _text(self.director_at[name]), "--registry", _text(self.registry), "--name", name, "--zone", zone,
-                    "--seed", str(seed), "--record", str(self.folder / f"{name}-{count}.turns"))  # fmt: skip
+                    "--seed", str(seed), "--record", str(self.folder / f"{name}-{count}.turns"), *read)  # fmt: skip
 
     def _proxy_terms(self) -> Path:
         """The terms proxies go by. A proxy asks them before it tries again, whatever was ordered: to see the judge
--- a/ironfall/metrics/collectd.py
+++ b/ironfall/metrics/collectd.py
@@ -29,6 +29,7 @@
 TIME_HIGH, INTERVAL_HIGH = 8, 9
 MESSAGE, SEVERITY, SIGNED, ENCRYPTED = 0x100, 0x101, 0x200, 0x210
 COUNTER, GAUGE, DERIVE, ABSOLUTE = range(4)
+KINDS = ("counter", "gauge", "derive", "absolute")
 PACKET_MOST = 65_535
 STRING_MOST = 128  # as collectd's own buffers
 _PART, _NUMBER, _GAUGE, _SIGNED = struct.Struct(">HH"), struct.Struct(">Q"), struct.Struct("<d"), struct.Struct(">q")
--- a/ironfall/metrics/links.py
+++ b/ironfall/metrics/links.py
@@ -11,6 +11,7 @@
 import sys
 import termios
 import time
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -20,15 +21,17 @@
 
 from ironfall.metrics import collectd
 from ironfall.metrics.graphite import Lines, format_line, parse_line
+from ironfall.metrics.overflow import Overflow
 from ironfall.metrics.point import Malformed, Point
 from ironfall.metrics.spool import Key, Spool, Waiting
+from ironfall.metrics.types import Types
 
 BATCH = 500
 SEND_TIME = 5.0  # seconds a receiver may take nothing before it is cut
 ACK_LOOK = 0.005
 FIRST_WAIT, LONGEST_WAIT = 0.2, 30.0
 
-Take = Callable[[str, float, float], None]  # series, value, measured at (0: now)
+Take = Callable[..., None]  # series, value, measured at (0: now), and for a counter what kind it is
 
 
 class Allowance:
@@ -108,6 +111,7 @@
     def __init__(self, address: tuple[str, int], take: Take, lines: int, counts: dict[str, int], must: str = "",
                  secret: Callable[[str], str | None] | None = None) -> None:  # fmt: skip
         self.take, self.counts, self.must, self.secret = take, counts, must, secret
+        self.types = Types.own()
         self.allowance = Allowance(lines)
         self.udp = DatagramServer(address, self._datagram)
         self.udp.start()
@@ -129,16 +133,18 @@
             self._count("collectd packets malformed")
             return
         for one in lists:
+            names = self.types.names(one.type, len(one.values))
             for n, (kind, value) in enumerate(one.values):
-                if kind == collectd.GAUGE:
-                    self.take(one.series(n, tuple(f"value{i}" for i in range(len(one.values)))), value, one.at)
+                self.take(one.series(n, names), value, one.at, collectd.KINDS[kind])
 
 
 class Sender:
     """Sends a spool by `connect` and `write`; both may block, on this greenlet alone."""
 
-    def __init__(self, spool: Spool, seed: int) -> None:
-        self.spool, self.chance = spool, random.Random(seed)
+    def __init__(self, spool: Spool, seed: int, overflow: Overflow | None = None) -> None:
+        self.spool, self.chance, self.overflow = spool, random.Random(seed), overflow
+        if overflow:
+            spool.spill = overflow.spill
         self.stir = Event()
         self.sock: socket.socket | None = None
         self.greenlet = gevent.spawn(self._run)
@@ -151,13 +157,41 @@
         self.greenlet.kill()
         if self.sock:
             self.sock.close()
+        if self.overflow:
+            self.overflow.stop([*self.spool.waiting.items()])
+
+    @property
+    def books(self) -> dict[str, int]:
+        """put + found = sent + dropped + held, at all times; `found` was in the overflow's file at start."""
+        counts, over = self.spool.counts, self.overflow
+        more = over.counts if over else Counter[str]()
+        return {
+            "put": counts["put"],
+            "found": more["found"],
+            "sent": counts["sent"] + more["sent"],
+            "dropped": counts["dropped"] + more["dropped"],
+            "held": self.spool.held + (over.held if over else 0),
+            "folded": counts["folded"],
+            "filed": over.held if over else 0,
+            "refusals": counts["refusals"],
+            "failures": counts["failures"],
+            "file_failures": more["failures"],
+        }
+
+    def _next(self) -> tuple[list[tuple[Key, Waiting]], Callable[[list[tuple[Key, Waiting]]], None]] | None:
+        """What to send next, the newest first: what waits in memory, then what was put by in the file."""
+        if batch := self.spool.take(BATCH):
+            return batch, self.spool.sent
+        if self.overflow and (batch := self.overflow.take(BATCH)):
+            return batch, self.overflow.sent
+        return None
 
     def _run(self) -> None:
         wait = FIRST_WAIT
         while True:
-            self.stir.wait()
             self.stir.clear()
-            while batch := self.spool.take(BATCH):
+            while following := self._next():
+                batch, sent = following
                 try:
                     self.sock = self.sock or self.connect()
                     self.write(self.sock, batch)
@@ -171,8 +205,9 @@
                     gevent.sleep(wait * (0.5 + self.chance.random()))
                     wait = min(LONGEST_WAIT, 2 * wait)
                     continue
-                self.spool.sent(batch)
+                sent(batch)
                 wait = FIRST_WAIT
+            self.stir.wait()
 
     def connect(self) -> socket.socket:
         raise NotImplementedError
@@ -182,9 +217,9 @@
 
 
 class GraphiteSender(Sender):
-    def __init__(self, to: tuple[str, int], spool: Spool, seed: int) -> None:
+    def __init__(self, to: tuple[str, int], spool: Spool, seed: int, overflow: Overflow | None = None) -> None:
         self.to = to
-        super().__init__(spool, seed)
+        super().__init__(spool, seed, overflow)
 
     def connect(self) -> socket.socket:
         sock: socket.socket = gevent.socket.create_connection(self.to, SEND_TIME)
@@ -217,9 +252,10 @@
     """Over UDP, where nothing tells whether it came: sent is sent."""
 
     def __init__(self, to: tuple[str, int], spool: Spool, seed: int, host: str, every: float,
-                 seal: Callable[[bytes], bytes] = lambda packet: packet) -> None:  # fmt: skip
+                 seal: Callable[[bytes], bytes] = lambda packet: packet,
+                 overflow: Overflow | None = None) -> None:  # fmt: skip
         self.to, self.host, self.every, self.seal = to, host, every, seal
-        super().__init__(spool, seed)
+        super().__init__(spool, seed, overflow)
 
     def connect(self) -> socket.socket:
         sock: socket.socket = gevent.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/ironfall/metrics/measures.py
+++ b/ironfall/metrics/measures.py
@@ -30,11 +30,14 @@
     put("publication.withdrawn", len(live.publication.outs), "mean")
     put("hosts.listed", len(live.roster.entries), "mean")
     put("own.stalls", live.clock.stalls)
+    put("own.epoch", live.epoch)  # two directors under one name: it goes back and forth
     held = 0
     for zone, name in enumerate(live.terms.zones):
         mine = [s for s in live.sessions.by_token.values() if s.zone == zone]
         held += sum(s.held for s in mine)
         put("proxies.joined", len(mine), "mean", zone=name)
+        put("channel.lines", live.by_zone[zone][0], zone=name)
+        put("channel.messages", live.by_zone[zone][1], zone=name)
     put("polls.held", held, "mean")
     for kind, name in enumerate(live.terms.classes):
         level, _ = live.publication.admits.get(kind, (1_000_000, 0))
--- a/ironfall/metrics/readings.py
+++ b/ironfall/metrics/readings.py
@@ -11,6 +11,7 @@
 
 VERDICTS = (
     "taken", "disagreed", "repeated", "older", "late", "future", "before its start", "no number", "unknown host",
+    "no rate yet",
 )  # fmt: skip
 
 
@@ -28,6 +29,7 @@
     id: bytes
     started: float
     gauges: dict[str, Held] = field(default_factory=dict)
+    rates: dict[str, "Rate"] = field(default_factory=dict)
 
 
 class Readings:
@@ -53,18 +55,38 @@
         self.counts[verdict] += 1
         return verdict
 
-    def _verdict(self, now: float, name: str, gauge: str, value: float, at: float) -> str:
-        known = self.hosts.get(name)
+    def count(self, now: float, name: str, gauge: str, value: float, at: float, scale: float = 1.0) -> str:
+        """One reading of a counter: what it grew by a second since the one before, times `scale`, is the gauge.
+
+        The first after a start, one out of order and the first after a reset tell no rate. A reading that would be
+        left out as a gauge doesn't move the counter either.
+        """
+        known, at = self.hosts.get(name), at or now
+        verdict = self._time(now, known, at)
+        if known is not None and not verdict:
+            rate = known.rates.setdefault(gauge, Rate()).next(at, value)
+            if rate is not None:
+                return self.take(now, name, gauge, rate * scale, at)
+            verdict = "no rate yet"
+        self.counts[verdict] += 1
+        return verdict
+
+    def _time(self, now: float, known: Known | None, at: float) -> str:
+        """Why a reading of that time is left out; nothing where it is not."""
         if known is None:
             return "unknown host"
-        if not math.isfinite(value) or value < 0:
-            return "no number"
         if at > now + self.ahead:
             return "future"
         if at < now - self.late:
             return "late"
-        if at < known.started:
-            return "before its start"
+        return "before its start" if at < known.started else ""
+
+    def _verdict(self, now: float, name: str, gauge: str, value: float, at: float) -> str:
+        known = self.hosts.get(name)
+        if known is None or not math.isfinite(value) or value < 0:
+            return "no number" if known else "unknown host"
+        if wrong := self._time(now, known, at):
+            return wrong
         held = known.gauges.get(gauge)
         if held is None or at > held.at:
             known.gauges[gauge] = Held(at, value, True)
@@ -78,14 +100,19 @@
         return "disagreed"
 
     def hand(self) -> list[tuple[bytes, float, dict[str, float]]]:
-        """Hosts with a reading not handed on yet: id, when the oldest of these was measured, and the gauges."""
+        """Readings not handed on yet: a host's id, when measured, and the gauges of that moment, oldest first.
+
+        Each moment by itself: the decisions keep the newest, and two gauges handed on under the older one's time would
+        leave them with another than when they had come one by one.
+        """
         handed = []
         for known in self.hosts.values():
-            fresh = {gauge: held for gauge, held in known.gauges.items() if held.fresh}
-            if fresh:
-                handed.append((known.id, min(h.at for h in fresh.values()), {g: h.value for g, h in fresh.items()}))
-                for held in fresh.values():
+            moments: dict[float, dict[str, float]] = {}
+            for gauge, held in known.gauges.items():
+                if held.fresh:
+                    moments.setdefault(held.at, {})[gauge] = held.value
                     held.fresh = False
+            handed += [(known.id, at, moments[at]) for at in sorted(moments)]
         return handed
 
 
--- /dev/null
+++ b/ironfall/metrics/rounds.py
@@ -0,0 +1,94 @@
+"""Round-robin files of a director's own measurements: a fixed size a series, older points coarser, no server needed.
+
+The files are whisper's (Graphite's own format), so that its tools read them too. Points gather for some seconds and are
+written in a thread: a disk that is slow or full costs points, counted, and nothing else.
+"""
+
+import os
+import time
+from collections import Counter
+from pathlib import Path
+
+import gevent
+import whisper
+from gevent.threadpool import ThreadPool
+
+from ironfall.metrics.point import Malformed, Point
+from ironfall.metrics.retention import file_of
+
+WRITE_EVERY = 5.0
+GATHERED_MOST = 50_000  # points that wait for a disk
+METHODS = {"last": "last", "mean": "average", "max": "max"}
+
+
+class Rounds:
+    """At most `most` series are kept; points of further ones are counted as refused."""
+
+    def __init__(self, folder: Path, retentions: list[tuple[int, int]], most: int) -> None:
+        self.folder, self.retentions, self.most = folder, retentions, most
+        self.gathered: dict[tuple[str, tuple[tuple[str, str], ...]], tuple[str, list[tuple[int, float]]]] = {}
+        self.waiting = 0
+        self.counts: Counter[str] = Counter()
+        folder.mkdir(parents=True, exist_ok=True)
+        self.known = {path for path in folder.rglob("*.wsp")}
+        self.pool = ThreadPool(1)
+        self.greenlet = gevent.spawn(self._run)
+
+    def put(self, point: Point, how: str = "last") -> None:
+        self.counts["put"] += 1
+        if self.waiting >= GATHERED_MOST:
+            self.counts["dropped"] += 1
+            return
+        self.waiting += 1
+        self.gathered.setdefault((point.series, point.tags), (how, []))[1].append((int(point.at), point.value))
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(WRITE_EVERY)
+            self.flush()
+
+    def flush(self) -> None:
+        gathered, self.gathered, self.waiting = self.gathered, {}, 0
+        self.pool.apply(self._write, (gathered,))
+
+    def _write(self, gathered: dict) -> None:  # type: ignore[type-arg]
+        for (series, tags), (how, points) in gathered.items():
+            try:
+                path = file_of(self.folder, series, tags)
+                if path not in self.known:
+                    if len(self.known) >= self.most:
+                        self.counts["refused"] += len(points)
+                        continue
+                    path.parent.mkdir(parents=True, exist_ok=True)
+                    # Made under another name: a director that is killed in between leaves no half a file to trip over.
+                    fresh = path.with_suffix(".new")
+                    fresh.unlink(missing_ok=True)
+                    whisper.create(str(fresh), self.retentions, 0.0, METHODS[how])
+                    os.replace(fresh, path)
+                    self.known.add(path)
+                whisper.update_many(str(path), points)
+                self.counts["written"] += len(points)
+            except (OSError, Malformed, whisper.WhisperException):
+                self.counts["failed"] += len(points)
+
+    def stop(self) -> None:
+        self.greenlet.kill()
+        self.flush()
+        self.pool.kill()
+
+
+def window(path: Path, since: float, until: float) -> list[tuple[float, float]]:
+    """The points of a file between two times, in order; raises `Malformed` where it is none of whisper's."""
+    try:
+        found = whisper.fetch(str(path), int(since), int(until), int(time.time()))
+    except (OSError, whisper.WhisperException) as wrong:
+        raise Malformed(f"{path}: {wrong}") from None
+    if found is None:
+        return []
+    (begins, _, step), values = found
+    return [(float(begins + n * step), v) for n, v in enumerate(values) if v is not None]
+
+
+def series_of(folder: Path) -> dict[str, Path]:
+    """The files of the folder by the names of their series."""
+    return {".".join(p.relative_to(folder).with_suffix("").parts): p for p in sorted(folder.rglob("*.wsp"))}
--- a/ironfall/metrics/service.py
+++ b/ironfall/metrics/service.py
@@ -7,13 +7,20 @@
 
 import gevent
 
+from ironfall.durable.disk import Folder
+from ironfall.durable.ring import Ring
 from ironfall.metrics import collectd
+from ironfall.metrics.collectd_text import decode_json
 from ironfall.metrics.links import CollectdReceiver, CollectdSender, GraphiteReceiver, GraphiteSender, Sender
 from ironfall.metrics.mapping import Mapping
 from ironfall.metrics.measures import points
+from ironfall.metrics.overflow import Overflow
 from ironfall.metrics.readings import Readings
+from ironfall.metrics.retention import archives
+from ironfall.metrics.rounds import Rounds
 from ironfall.metrics.spool import Spool
 from ironfall.metrics.terms import MetricsTerms
+from ironfall.metrics.types import Types
 
 SECOND = 10_000
 HAND_EVERY = 0.2  # seconds between two hand-overs of readings: what came between is one event a host
@@ -29,13 +36,17 @@
         self.ages: list[float] = []
         self.senders: list[Sender] = []
         self.receivers: list[Any] = []
+        self.rounds = Rounds(Path(terms.rounds), archives(terms.keep), terms.series) if terms.rounds else None
         # Two directors under one name would overwrite each other's series.
         self.prefix = f"{terms.prefix}.{name}"
         if terms.graphite_to:
-            self.senders.append(GraphiteSender(terms.graphite_to, Spool(terms.spool), seed))
+            over = self._overflow("graphite")
+            self.senders.append(GraphiteSender(terms.graphite_to, Spool(terms.spool), seed, over))
         if terms.collectd_to:
             every = terms.every / SECOND
-            self.senders.append(CollectdSender(terms.collectd_to, Spool(terms.spool), seed, name, every, self._seal))
+            over = self._overflow("collectd")
+            self.senders.append(CollectdSender(terms.collectd_to, Spool(terms.spool), seed, name, every, self._seal,
+                                               over))  # fmt: skip
         if terms.graphite_listen:
             self.receivers.append(GraphiteReceiver(terms.graphite_listen, self.take, terms.connections, terms.lines,
                                                    self.counts))  # fmt: skip
@@ -43,14 +54,18 @@
             secret = {terms.user: self.password}.get if terms.user else None
             self.receivers.append(CollectdReceiver(terms.collectd_listen, self.take, terms.lines, self.counts,
                                                    terms.must, secret))  # fmt: skip
-        self.running = [gevent.spawn(self._measure)] if self.senders else []
-        self.running += [gevent.spawn(self._hand)] if self.receivers else []
+        self.running = [gevent.spawn(self._measure)] if self.senders or self.rounds else []
+        self.running += [gevent.spawn(self._hand)] if terms.readings else []
 
     def stop(self) -> None:
         gevent.killall(self.running)
-        for link in [*self.senders, *self.receivers]:
+        for link in [*self.senders, *self.receivers, *([self.rounds] if self.rounds else [])]:
             link.stop()
 
+    def _overflow(self, which: str) -> Overflow | None:
+        folder, most = Path(self.terms.overflow) / which, self.terms.overflow_most
+        return Overflow(lambda: Ring(Folder(folder), most)) if self.terms.overflow else None
+
     def _seal(self, packet: bytes) -> bytes:
         if not self.terms.user:
             return packet
@@ -58,12 +73,28 @@
             return collectd.encrypt(packet, self.terms.user, self.password, os.urandom(16))
         return collectd.sign(packet, self.terms.user, self.password)
 
-    def take(self, series: str, value: float, at: float) -> None:
+    def take(self, series: str, value: float, at: float, kind: str = "gauge") -> None:
+        """One value of a peer's, whatever way it came; `kind` is collectd's, a gauge's where the way has none."""
         found = self.mapping.find(series)
         if found is None:
             self.counts["series not mapped"] = self.counts.get("series not mapped", 0) + 1
-        else:
-            self.readings.take(time.time(), found[0], found[1], value, at)
+            return
+        host, gauge, scale = found
+        if kind in ("counter", "derive"):
+            self.readings.count(time.time(), host, gauge, value, at, scale)
+        elif kind == "gauge":
+            self.readings.take(time.time(), host, gauge, value * scale, at)
+        else:  # an absolute value counts from its last reading on, which may have been lost
+            self.counts["absolute values passed over"] = self.counts.get("absolute values passed over", 0) + 1
+
+    def posted(self, body: bytes) -> int:
+        """Value lists as collectd's write_http posts them; how many. Raises `Malformed`, and then none was taken."""
+        lists = decode_json(body)
+        for one in lists:
+            names = Types.own().names(one.type, len(one.values))
+            for n, (kind, value) in enumerate(one.values):
+                self.take(one.series(n, names), value, one.at, collectd.KINDS[kind])
+        return len(lists)
 
     def _hand(self) -> None:
         while True:
@@ -91,9 +122,12 @@
     def _measure(self) -> None:
         while True:
             gevent.sleep(self.terms.every / SECOND)
-            sent = {f"{type(s).__name__} {k}": v for s in self.senders for k, v in s.spool.counts.items()}
+            sent = {f"{type(s).__name__} {k}": v for s in self.senders for k, v in s.books.items()}
             read = {f"readings {k}": v for k, v in self.readings.counts.items()}
-            counts = {**self.served, **self.counts, **sent, **read}
+            kept = {f"rounds {k}": v for k, v in self.rounds.counts.items()} if self.rounds else {}
+            counts = {**self.served, **self.counts, **sent, **read, **kept}
             for point, how in points(self.live, self.prefix, float(int(time.time())), counts, self.ages):
                 for sender in self.senders:
                     sender.put(point, how)
+                if self.rounds:
+                    self.rounds.put(point, how)
--- a/ironfall/metrics/spool.py
+++ b/ironfall/metrics/spool.py
@@ -1,6 +1,7 @@
 """Points that wait to be sent: bounded, folded before any is lost, the oldest lost first and counted. No I/O."""
 
 from collections import Counter, OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ironfall.metrics.point import Point
@@ -21,8 +22,8 @@
 class Spool:
     """`how` of a series is `last` (counters, which only grow), `mean` or `max` (gauges, latencies)."""
 
-    def __init__(self, most: int) -> None:
-        self.most = most
+    def __init__(self, most: int, spill: Callable[[Key, Waiting], bool] = lambda _key, _waiting: False) -> None:
+        self.most, self.spill = most, spill  # `spill`: whether what has no room here is kept elsewhere
         self.waiting: OrderedDict[Key, Waiting] = OrderedDict()
         self.rest = 0  # puts until it is worth folding again
         self.counts: Counter[str] = Counter()
@@ -37,8 +38,8 @@
             # Folding looks at all that waits. Where it makes little room, a flood of names would pay that for each.
             self.rest = 0 if 20 * (before - len(self.waiting)) >= self.most else self.most // 20
         while len(self.waiting) > self.most:
-            _, lost = self.waiting.popitem(last=False)
-            self.counts["dropped"] += lost.count
+            key, lost = self.waiting.popitem(last=False)
+            self.counts["spilled" if self.spill(key, lost) else "dropped"] += lost.count
 
     @staticmethod
     def _add(into: OrderedDict[Key, Waiting], key: Key, it: Waiting) -> None:
@@ -73,5 +74,5 @@
 
     @property
     def held(self) -> int:
-        """Points that wait, as they were put: put = sent + dropped + held, at all times."""
+        """Points that wait here, as they were put: put = sent from here + spilled + dropped + held, at all times."""
         return sum(it.count for it in self.waiting.values())
--- /dev/null
+++ b/ironfall/metrics/types.py
@@ -0,0 +1,49 @@
+"""Types of collectd's: what the values of a list are called. Source: types.db(5) in collectd's documentation.
+
+>>> types = Types("load shortterm:GAUGE:0:5000, midterm:GAUGE:0:U")
+>>> types.names("load", 2), types.names("load", 3), types.names("other", 1)
+(('shortterm', 'midterm'), ('value0', 'value1', 'value2'), ('value',))
+>>> Types("load shortterm:GAUGE")
+Traceback (most recent call last):
+ironfall.metrics.point.Malformed: line 1: 'shortterm:GAUGE' is not name:KIND:least:most
+"""
+
+from functools import cache
+from importlib.resources import files
+
+from ironfall.metrics.point import Malformed
+
+KINDS = ("COUNTER", "GAUGE", "DERIVE", "ABSOLUTE")
+
+
+class Types:
+    def __init__(self, text: str) -> None:
+        self.sources: dict[str, tuple[str, ...]] = {}
+        for number, line in enumerate(text.splitlines(), 1):
+            name, _, rest = line.partition("#")[0].strip().partition(" ")
+            if name:
+                self.sources[name] = tuple(_source(number, part.strip()) for part in rest.split(","))
+
+    @staticmethod
+    @cache
+    def own() -> "Types":
+        return Types(files("ironfall.metrics").joinpath("types.db").read_text())
+
+    def names(self, kind: str, count: int) -> tuple[str, ...]:
+        """Of a list of that type; numbered where the type is not known or has another count."""
+        found = self.sources.get(kind, ())
+        if len(found) == count:
+            return found
+        return ("value",) if count == 1 else tuple(f"value{n}" for n in range(count))
+
+
+def _source(number: int, part: str) -> str:
+    words = part.split(":")
+    if len(words) != 4 or words[1] not in KINDS or not words[0]:
+        raise Malformed(f"line {number}: {part!r} is not name:KIND:least:most")
+    for bound in words[2:]:
+        try:
+            float(bound if bound != "U" else "0")
+        except ValueError:
+            raise Malformed(f"line {number}: {bound!r} is no bound") from None
+    return words[0]
--- a/ironfall/terms/__init__.py
+++ b/ironfall/terms/__init__.py
@@ -11,6 +11,8 @@
 
 from ironfall.interface import ExchangeClass, ServiceTerms
 from ironfall.metrics.mapping import fault
+from ironfall.metrics.point import Malformed
+from ironfall.metrics.retention import archives
 from ironfall.metrics.terms import MetricsTerms
 from ironfall.terms.sexp import Fault, Node, Source, Unreadable
 
@@ -237,15 +239,19 @@
     usual = MetricsTerms()
     patterns = []
     for node in form.all("reading"):
-        pattern, gauge = (node.parts[1].value, node.parts[2].word) if len(node.parts) == 3 else ("", "")
-        if not isinstance(pattern, str) or gauge not in GAUGES:
+        inner = _Form(source, node)
+        scale = inner.get("scale", _number, 1.0)
+        inner.done()
+        pattern, gauge = (node.parts[1].value, node.parts[2].word) if len(node.parts) >= 3 else ("", "")
+        if len(inner.values) != 2 or not isinstance(pattern, str) or gauge not in GAUGES:
             source.fault(node.at, f'expected (reading "PATTERN" GAUGE), the gauge one of {", ".join(GAUGES)}')
         elif fault(pattern):
             source.fault(node.parts[1].at, fault(pattern))
         elif GAUGES[gauge] not in gauges:
             source.fault(node.parts[2].at, f"this service's hosts have no gauge {gauge}; see (reports (gauges ...))")
         else:
-            patterns.append((pattern, GAUGES[gauge]))
+            patterns.append((pattern, GAUGES[gauge], scale))
+    overflow, rounds = form.form("overflow", False), form.form("rounds", False)
     graphite, collectd = form.form("graphite", False), form.form("collectd", False)
     none = ("", 0)
     terms = MetricsTerms(
@@ -264,10 +270,19 @@
         connections=form.get("connections", _count, usual.connections),
         lines=form.get("lines", _count, usual.lines),
         spool=form.get("spool", _count, usual.spool),
+        overflow=overflow.get("folder", _text, ""),
+        overflow_most=overflow.get("most", _size, usual.overflow_most),
+        rounds=rounds.get("folder", _text, ""),
+        keep=rounds.get("keep", _text, usual.keep),
+        series=rounds.get("series", _count, usual.series),
     )
+    try:
+        archives(terms.keep)
+    except Malformed as wrong:
+        source.fault(rounds.lists["keep"][0].at, str(wrong))
     if terms.must and not (terms.user and terms.key_file):
         source.fault(form.node.at, f"(must {terms.must}) needs (user ...) and (key-file ...)")
-    for part in (graphite, collectd, form):
+    for part in (graphite, collectd, overflow, rounds, form):
         part.done()
     return terms
 
--- a/tests/test_metrics_links.py
+++ b/tests/test_metrics_links.py
@@ -62,7 +62,7 @@
 
 
 def rig(**metrics):
-    terms = MetricsTerms(every=200, readings=(("servers.{host}.inflight", "rif"),), **metrics)
+    terms = MetricsTerms(every=200, readings=(("servers.{host}.inflight", "rif", 1.0),), **metrics)
     return Rig(metrics=terms)
 
 
@@ -163,7 +163,7 @@
 
 def test_collectd_packets_signed_as_asked_are_read_and_others_refused(tmp_path):
     (tmp_path / "key").write_text("a secret\n")
-    patterns = (("{host}.exchanges.gauge-inflight", "rif"),)
+    patterns = (("{host}.exchanges.gauge-inflight", "rif", 1.0),)
     key = str(tmp_path / "key")
     terms = MetricsTerms(collectd_listen=HERE, must="signed", user="ops", key_file=key, readings=patterns)
     with Rig(metrics=terms) as running:
