--- a/ironfall/metrics/collectd_text.py
+++ b/ironfall/metrics/collectd_text.py
@@ -7,7 +7,7 @@
 >>> one.series(), one.at, one.values
 ('node7.exchanges.queue_length', 1733000000.5, [(1, 4.0)])
 >>> encode_putval(one)
-'PUTVAL "node7/exchanges/queue_length" interval=1 1733000000.500:4'
+'PUTVAL "node7/exchanges/queue_length" interval=1 1733000000.500:4.0'
 >>> decode_json(encode_json([one]).encode()) == [one]
 True
 """
@@ -130,6 +130,6 @@
     plugin = one.plugin + (f"-{one.plugin_instance}" if one.plugin_instance else "")
     kind = one.type + (f"-{one.type_instance}" if one.type_instance else "")
     identifier = "/".join(p.replace("/", "_").replace('"', "_").replace("\\", "_") for p in (one.host, plugin, kind))
-    values = ":".join("U" if math.isnan(v) else f"{v:.15g}" if k == GAUGE else str(int(v)) for k, v in one.values)
+    values = ":".join("U" if math.isnan(v) else repr(v) if k == GAUGE else str(int(v)) for k, v in one.values)
     at = f"{one.at:.3f}" if one.at else "N"
     return f'PUTVAL "{identifier}" interval={one.interval:g} {at}:{values}'
--- a/ironfall/metrics/rounds.py
+++ b/ironfall/metrics/rounds.py
@@ -7,6 +7,7 @@
 import os
 import time
 from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
 
 import gevent
@@ -24,8 +25,9 @@
 class Rounds:
     """At most `most` series are kept; points of further ones are counted as refused."""
 
-    def __init__(self, folder: Path, retentions: list[tuple[int, int]], most: int) -> None:
-        self.folder, self.retentions, self.most = folder, retentions, most
+    def __init__(self, folder: Path, retentions: list[tuple[int, int]], most: int,
+                 wall: Callable[[], float] = time.time) -> None:  # fmt: skip
+        self.folder, self.retentions, self.most, self.wall = folder, retentions, most, wall
         self.gathered: dict[tuple[str, tuple[tuple[str, str], ...]], tuple[str, list[tuple[int, float]]]] = {}
         self.waiting = 0
         self.counts: Counter[str] = Counter()
@@ -66,7 +68,7 @@
                     whisper.create(str(fresh), self.retentions, 0.0, METHODS[how])
                     os.replace(fresh, path)
                     self.known.add(path)
-                whisper.update_many(str(path), points)
+                whisper.update_many(str(path), points, int(self.wall()))
                 self.counts["written"] += len(points)
             except (OSError, Malformed, whisper.WhisperException):
                 self.counts["failed"] += len(points)
--- /dev/null
+++ b/tests/test_metrics_files.py
@@ -0,0 +1,215 @@
+"""The file behind a spool, round-robin files and their plots, and collectd's text forms."""
+
+import doctest
+import importlib
+import json
+import math
+import os
+import time
+
+import pytest
+from click.testing import CliRunner
+from gevent.event import Event
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ironfall.cli import main
+from ironfall.durable.disk import Folder
+from ironfall.durable.ring import Ring
+from ironfall.metrics import collectd, plot
+from ironfall.metrics.collectd import ValueList
+from ironfall.metrics.collectd_text import decode_json, decode_putval, encode_json, encode_putval
+from ironfall.metrics.links import GraphiteSender
+from ironfall.metrics.overflow import Overflow
+from ironfall.metrics.point import Malformed, Point
+from ironfall.metrics.retention import archives, file_of
+from ironfall.metrics.rounds import Rounds, series_of, window
+from ironfall.metrics.spool import Spool
+from tests.disks import Disk
+from tests.rig import until
+from tests.test_metrics_links import Receiver
+
+
+def balanced(sender):
+    books = sender.books
+    return books["put"] + books["found"] == books["sent"] + books["dropped"] + books["held"]
+
+
+def closed_port():
+    receiver = Receiver()
+    receiver.server.stop()
+    return receiver.address
+
+
+def test_what_memory_has_no_room_for_goes_to_the_file_and_comes_back_after_a_restart(tmp_path):
+    address = closed_port()
+    folder = Folder(tmp_path)
+    sender = GraphiteSender(address, Spool(50), 1, Overflow(lambda: Ring(folder, 1 << 20)))
+    for n in range(1000):
+        sender.put(Point("a", float(n), 1000.0 + 20 * n))
+    until(lambda: not sender.overflow.queue)
+    assert sender.books["filed"] == 950 and sender.books["dropped"] == 0 and balanced(sender)
+    sender.stop()
+    folder.close()
+    receiver = Receiver()
+    again = GraphiteSender(receiver.address, Spool(50), 1, Overflow(lambda: Ring(Folder(tmp_path), 1 << 20)))
+    assert again.books["found"] == 1000
+    until(lambda: len(receiver.lines) == 1000)
+    assert {p.value for p in receiver.lines} == {float(n) for n in range(1000)}
+    until(lambda: again.books["held"] == 0)
+    assert balanced(again) and again.books["sent"] == 1000
+    again.stop()
+
+
+def test_a_file_at_its_cap_drops_the_oldest_and_counts_each(tmp_path):
+    sender = GraphiteSender(closed_port(), Spool(10), 1, Overflow(lambda: Ring(Folder(tmp_path), 8000)))
+    for n in range(3000):
+        sender.put(Point("a", float(n), 1000.0 + 20 * n))
+        if n % 100 == 0:
+            until(lambda: not sender.overflow.queue)
+    until(lambda: not sender.overflow.queue)
+    books = sender.books
+    assert balanced(sender) and books["dropped"] > 2000 and books["held"] > 50
+    assert sum(f.stat().st_size for f in tmp_path.iterdir()) <= 8000 * 1.2
+    sender.stop()
+
+
+def test_a_disk_that_refuses_costs_counted_points_and_nothing_waits_for_it():
+    disk = Disk(full_from=1)
+    sender = GraphiteSender(closed_port(), Spool(10), 1, Overflow(lambda: Ring(disk, 1 << 20)))
+    begun = time.monotonic()
+    for n in range(30_000):
+        sender.put(Point("a", float(n), 1000.0 + 20 * n))
+    assert time.monotonic() - begun < 20
+    until(lambda: sender.books["file_failures"] > 0)
+    assert balanced(sender) and sender.books["dropped"] > 9_000
+    sender.greenlet.kill()
+    sender.overflow.greenlet.kill()
+
+
+def test_a_disk_that_hangs_does_not_hold_up_the_sender_of_points():
+    stuck = Event()
+
+    class Stuck(Disk):
+        def append(self, name, data):
+            while not stuck.is_set():
+                time.sleep(0.01)  # in the thread of the ring, as a disk that does not answer
+            super().append(name, data)
+
+    sender = GraphiteSender(closed_port(), Spool(10), 1, Overflow(lambda: Ring(Stuck(), 1 << 20)))
+    for n in range(200):
+        sender.put(Point("a", float(n), 1000.0 + 20 * n))
+    begun = time.monotonic()
+    until(lambda: sender.overflow.counts["failures"] == 0 and sender.spool.counts["spilled"] == 190)
+    assert time.monotonic() - begun < 5 and balanced(sender)
+    stuck.set()
+    until(lambda: not sender.overflow.queue)
+    sender.stop()
+
+
+# round-robin files
+
+
+def test_points_are_kept_coarser_with_age_and_drawn(tmp_path):
+    now = int(time.time()) // 10 * 10
+    wall = [0.0]
+    rounds = Rounds(tmp_path / "rounds", archives("1s:1min,10s:1h"), 10, lambda: wall[0])
+    for n in range(301):
+        wall[0] = now - 300 + n
+        rounds.put(Point("ironfall.d1.turn_ms.p99", float(n % 10), wall[0]), "max")
+        if n % 5 == 0:
+            rounds.flush()
+    rounds.put(Point("ironfall.d1.polls", 4.0, now - 5, (("zone", "hill"),)))
+    rounds.put(Point("../../etc/x", 4.0, now))
+    rounds.flush()
+    assert rounds.counts["failed"] == 1 and rounds.counts["written"] == 302
+    there = series_of(tmp_path / "rounds")
+    assert list(there) == ["ironfall.d1.polls;zone=hill", "ironfall.d1.turn_ms.p99"]
+    path = there["ironfall.d1.turn_ms.p99"]
+    assert {v for _, v in window(path, now - 50, now)} == {float(n) for n in range(10)}
+    old = window(path, now - 290, now)
+    assert {b - a for (a, _), (b, _) in zip(old, old[1:], strict=False)} == {10.0}
+    assert {v for _, v in old[:-1]} == {9.0}  # the most of ten
+    run = CliRunner().invoke(main, ["metrics", "plot", str(tmp_path / "rounds"), "ironfall.*.p99", "--last", "50s"])
+    assert run.exit_code == 0 and "most 9" in run.output and "┤" in run.output
+    out = tmp_path / "p.png"
+    run = CliRunner().invoke(main, ["metrics", "plot", str(tmp_path / "rounds"), "*", "--out", str(out)])
+    assert run.exit_code == 0 and out.read_bytes().startswith(b"\x89PNG")
+    assert CliRunner().invoke(main, ["metrics", "plot", str(tmp_path / "rounds"), "none"]).exit_code == 2
+    rounds.stop()
+
+
+def test_more_series_than_allowed_are_refused_and_a_garbled_file_harms_no_other(tmp_path):
+    rounds = Rounds(tmp_path, archives("1s:1min"), 5)
+    for n in range(9):
+        rounds.put(Point(f"s{n}", 1.0, time.time()))
+    rounds.flush()
+    assert rounds.counts["written"] == 5 and rounds.counts["refused"] == 4
+    (tmp_path / "s0.wsp").write_bytes(os.urandom(20))
+    for n in range(2):
+        rounds.put(Point(f"s{n}", 1.0, time.time()))
+    rounds.flush()
+    assert rounds.counts["written"] == 6 and rounds.counts["failed"] == 1
+    with pytest.raises(Malformed):
+        window(tmp_path / "s0.wsp", 0, time.time())
+    rounds.stop()
+
+
+@pytest.mark.parametrize("series", ["", "a..b", "a/../b", "..", "a.b c", "x" * 10 + "/y"])
+def test_a_series_can_not_lead_out_of_its_folder(tmp_path, series):
+    with pytest.raises(Malformed):
+        file_of(tmp_path, series)
+
+
+@pytest.mark.parametrize("text", ["", "1s", "x:y", "2s:1h,7s:1d", "10s:1min,1s:1h"])
+def test_retentions_that_can_not_be_kept_are_refused(text):
+    with pytest.raises(Malformed):
+        archives(text)
+
+
+# text forms and types
+
+letters = st.characters(codec="utf-8", categories=("L", "N"))
+texts = st.text(letters, min_size=1, max_size=9)
+whole = st.integers(0, 2**53)
+values = st.lists(st.one_of(
+    st.tuples(st.just(collectd.GAUGE), st.floats(allow_infinity=False, width=32)),
+    st.tuples(st.sampled_from([collectd.COUNTER, collectd.DERIVE, collectd.ABSOLUTE]), whole),
+), min_size=1, max_size=4)  # fmt: skip
+lists = st.builds(ValueList, texts, texts, texts, texts, texts, st.integers(1, 2**31).map(float),
+                  st.integers(1, 90).map(float), values)  # fmt: skip
+
+
+def told(lists):
+    # NaN is not equal to itself, and a PUTVAL line has no kinds.
+    return [(x.host, x.plugin, x.plugin_instance, x.type, x.type_instance, x.at, x.interval,
+             ["nan" if math.isnan(v) else v for _, v in x.values]) for x in lists]  # fmt: skip
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.lists(lists, min_size=1, max_size=4))
+def test_text_forms_round_trip(sent):
+    assert told(decode_json(encode_json(sent).encode())) == told(sent)
+    for one in sent:
+        assert told(decode_putval(encode_putval(one))) == told([one])
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.one_of(st.binary(max_size=200), st.recursive(st.none() | st.booleans() | st.floats() | st.text(max_size=5),
+       lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.sampled_from(["values", "dstypes", "time"]),
+       inner, max_size=3), max_leaves=12).map(lambda v: json.dumps(v).encode())))  # fmt: skip
+def test_any_bytes_are_value_lists_or_malformed(data):
+    for decode in (decode_json, lambda d: decode_putval(d.decode("utf-8", "replace"))):
+        try:
+            decode(data)
+        except Malformed:
+            pass
+
+
+@pytest.mark.parametrize("name", ["collectd_text", "types", "retention", "plot", "readings", "mapping"])
+def test_examples(name):
+    assert doctest.testmod(importlib.import_module(f"ironfall.metrics.{name}")).failed == 0
+
+
+def test_a_window_without_points_says_so():
+    assert "no points" in plot.text("a", [], 0.0, 1.0)
