Servers and weights from operators' files, each change whole or not at all

Need: in incidents operators set servers and weights by hand; a half-written file must never reach proxies. The module has one method more: held_between, what a learnt weight is held between.

--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -19,6 +19,7 @@
 from ironfall.director.roster import BadList
 from ironfall.director.sessions import Full, Session
 from ironfall.director.turns import Decide, Live
+from ironfall.files.service import Files
 from ironfall.generated import ironfall_pb2 as pb
 from ironfall.logic import Director
 from ironfall.metrics.point import Malformed
@@ -55,6 +56,7 @@
         self.links: dict[str, Link] = {}
         self.probing: set[str] = set()
         self.loop: gevent.Greenlet | None = None
+        self.files = Files(self.live, terms.files, log) if terms.files.path else None
 
     # life
 
@@ -64,6 +66,8 @@
         sys.setswitchinterval(ANSWERS_FIRST)
         self.loop = gevent.spawn(self.live.run)
         self.loop.link_exception(self._broken)
+        if self.files:
+            self.files.start()
         gevent.spawn(self._watch_list)
         self.server.start()
         self.metrics = Metrics(self.live, self.terms.metrics, self.name, self.seed, self.server.counts)
@@ -77,10 +81,14 @@
         return 1 if self.loop is not None and self.loop.exception else 0
 
     def stop(self) -> None:
+        if self.live.stopping:
+            return  # told twice, as by a second signal
         # Held polls are let go first, with a plain answer, so that proxies turn to another director at once.
         self.live.stop()
         self.server.stop(1.0)
         self.metrics.stop()
+        if self.files:
+            self.files.stop()
         self.log.info("stopped", turns=self.live.lengths.get_total_count())
         self.done.set()
 
@@ -160,6 +168,9 @@
             version, whole, rows = int(told["version"]), bool(told["whole"]), told["hosts"]
         except (ValueError, KeyError, TypeError) as wrong:
             raise BadList(f"not a list: {type(wrong).__name__} {wrong}") from None
+        if self.files:
+            self.files.registry(rows, whole)
+            return version
         listing = self.live.roster.read(self.live.clock.now(), rows, whole)
         while not self.live.put("listed", listing, whole, True):
             gevent.sleep(0.05)  # never dropped: the registry waits, and adds up what comes meanwhile
@@ -175,6 +186,8 @@
             return self._poll(request)
         if route == ("POST", "/v1/sums"):
             return self._sums(request)
+        if route == ("GET", "/v1/files"):
+            return self._files(request)
         if route == ("POST", "/v1/readings"):
             return self._readings(request)
         if route == ("POST", "/v1/join"):
@@ -183,7 +196,7 @@
             return self._leave(request)
         if route == ("GET", "/v1/status"):
             return Answer(200, json.dumps(self.status(), indent=1).encode() + b"\n", {"Content-Type": codec.JSON})
-        known = ("/v1/poll", "/v1/sums", "/v1/join", "/v1/leave", "/v1/readings", "/v1/status")
+        known = ("/v1/poll", "/v1/sums", "/v1/join", "/v1/leave", "/v1/readings", "/v1/files", "/v1/status")
         raise Refused(405 if request.path in known else 404, f"no {request.method} {request.path} here")
 
     def _decode(self, kind: type[Any], request: Request) -> Any:
@@ -312,6 +325,16 @@
             live.intake.add_came(session.number, came.kind, came.came, min(came.lost, came.came))
         return Answer(204)
 
+    def _files(self, request: Request) -> Answer:
+        if not self.files:
+            raise Refused(404, "the terms of this service name no files")
+        told: Any = {"status": self.files.status(), "history": self.files.history()}
+        if number := request.number("number", 0):
+            told = self.files.texts(int(number))
+            if told is None:
+                raise Refused(404, f"no adoption {number:g} is kept here")
+        return Answer(200, json.dumps(told, indent=1).encode() + b"\n", {"Content-Type": codec.JSON})
+
     def _readings(self, request: Request) -> Answer:
         if not self.terms.metrics.readings:
             raise Refused(404, "the terms of this service name no readings")
@@ -340,6 +363,7 @@
             "counts": {**live.counts, **self.server.counts, **self.metrics.counts},
             "readings": dict(self.metrics.readings.counts),
             "spools": [s.books for s in self.metrics.senders],
+            **({"files": self.files.status()} if self.files else {}),
         }  # fmt: skip
 
 
--- /dev/null
+++ b/ironfall/files/service.py
@@ -0,0 +1,282 @@
+"""Operators' files in a running director: watched, read apart, checked, adopted at one turn, kept, and shown."""
+
+import json
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import gevent
+from gevent import subprocess
+from gevent.threadpool import ThreadPool
+
+from ironfall.director.roster import BadList
+from ironfall.durable.disk import Folder
+from ironfall.files.checks import Allowed, check, difference
+from ironfall.files.merge import FREE, Merge, Misshapen
+from ironfall.files.servers import ServerSet
+from ironfall.files.store import Adoption, Store
+from ironfall.files.taking import Taking
+from ironfall.files.terms import FilesTerms
+from ironfall.files.watch import Watch
+
+SECOND = 10_000
+EFFECT_AFTER = 10.0  # seconds from an adoption to what is noted as its effect
+STORE_AGAIN = 5.0  # seconds before a disk that refused is asked again
+OUT_MOST = 256 * 2**20
+
+
+class Files:
+    """`live` is the director's; its turn loop alone decides. `wall` is the machine's time of day."""
+
+    def __init__(self, live: Any, terms: FilesTerms, log: Any, wall: Callable[[], float] = time.time) -> None:
+        self.live, self.terms, self.log, self.wall = live, terms, log, wall
+        self.merge = Merge()
+        self.held: dict[bytes, tuple[float, float]] = {}
+        self.taking = Taking(terms.settle / SECOND)
+        self.counts: Counter[str] = Counter()
+        self.refusal: dict[str, Any] = {}
+        self.notes: list[str] = []
+        self.standing = "none yet"
+        self.seen_registry = False
+        self.pool = ThreadPool(1)
+        self.store: Store | None = None
+        self.store_state = "none" if not terms.store else "good"
+        self.adoption: Adoption | None = None
+        self.running: list[gevent.Greenlet] = []
+
+    # life
+
+    def start(self) -> None:
+        """Adopts the last good set of the store, before any proxy can join."""
+        if self.terms.store:
+            self.pool.apply(self._open)
+        if self.adoption:
+            self.merge = Merge({}, self.adoption.told, self.adoption.since)
+            self.taking.took(self.adoption.digest)
+            self.log.info("servers kept", number=self.adoption.number, by=self.adoption.by)
+            # Not fresh: as it was kept over the start.
+            if self.adoption.told.hosts:
+                self._hand(self.merge, fresh=False)
+        self.watch = Watch(self.terms.path, self.terms.poll / SECOND)
+        self.running = [gevent.spawn(self._run), gevent.spawn(self._expire)]
+
+    def _open(self) -> None:
+        try:
+            self.folder = Folder(Path(self.terms.store))
+            store = Store(self.folder)
+            self.adoption = store.open()
+            self.store = store
+        except OSError as wrong:
+            self.store_state = f"can't be read: {wrong}"
+            self.log.error("servers' store", cause=str(wrong))
+            return
+        for fault in store.faults:
+            self.log.warning("servers' store", fault=fault)
+
+    def stop(self) -> None:
+        gevent.killall(self.running)
+        self.watch.stop()
+        if self.store is not None:
+            self.pool.apply(self.folder.close)
+        self.pool.kill()
+
+    # the registry's side
+
+    def registry(self, rows: Any, whole: bool) -> None:
+        """The registry's answer, merged and put to the decisions. Raises `BadList`, and then nothing changed."""
+        try:
+            merge = self.merge.registry(rows, whole)
+        except Misshapen as wrong:
+            raise BadList(str(wrong)) from None
+        self._hand(merge, True)
+        if not self.seen_registry:
+            self.seen_registry = True
+            self.watch.stir.set()
+
+    def _hand(self, merge: Merge, fresh: bool) -> None:
+        live, now = self.live, self.wall()
+        listing = live.roster.read(live.clock.now(), merge.merged(now), True)
+        self.merge = merge
+        self._put("listed", listing, True, fresh)
+        held = {}
+        for entry in live.roster.entries.values():
+            bounds = merge.held(entry.host.partition("@")[0], now)
+            if bounds != FREE:
+                held[entry.id] = bounds
+        # All that are held, each time: a host that was gone and came again has forgotten.
+        for host, bounds in held.items():
+            self._put("held_between", host, *bounds)
+        for host in self.held.keys() - held.keys():
+            self._put("held_between", host, *FREE)
+        self.held = held
+
+    def _put(self, *event: Any) -> None:
+        while not self.live.put(*event):
+            gevent.sleep(0.05)  # never dropped: the queue empties at the next turn
+
+    def _expire(self) -> None:
+        """Pins end by a clock that only goes on: setting the machine's clock neither ends nor lengthens one."""
+        while True:
+            now, begun = self.wall(), time.monotonic()
+            following = self.merge.next_expiry(now)
+            told = self.merge.told
+            while following is not None and time.monotonic() - begun < following - now and self.merge.told is told:
+                gevent.sleep(min(1.0, max(0.01, following - now - (time.monotonic() - begun))))
+            if following is None or self.merge.told is not told:
+                gevent.sleep(0.2)
+                continue
+            ended = [name for name, pin in told.pins.items() if pin.until <= following]
+            for name in ended:
+                del told.pins[name]
+            self.log.info("pins ended", hosts=sorted(ended))
+            self._hand(self.merge, True)
+
+    # the files' side
+
+    def _run(self) -> None:
+        again = 0.0
+        while True:
+            wait = self.terms.poll / SECOND
+            if self.taking.due is not None:
+                wait = max(0.005, self.taking.due - time.monotonic())
+            self.watch.wait(wait)
+            if self.store is not None and self.store.unwritten and time.monotonic() > again:
+                self._keep(self.store.retry)
+                again = time.monotonic() + STORE_AGAIN
+            signature, renamed = self.pool.apply(self.watch.look)
+            if signature is None and self.standing != "missing":
+                self.standing = "missing"
+                self.log.warning("servers' file is missing", stays=self.adoption.number if self.adoption else 0)
+            if not self.taking.look(time.monotonic(), signature, renamed):
+                continue
+            try:
+                self._read()
+            except Exception as wrong:  # whatever a file brings about, the last good set stays and the watch goes on
+                self.counts["failures"] += 1
+                self.taking.due = None
+                self._refuse("", [f"{type(wrong).__name__}: {wrong}"])
+
+    def _read(self) -> None:
+        found = self._apart()
+        self.counts["readings"] += 1
+        digest = found.get("digest", "")
+        if "cause" in found:
+            self._refuse("", [found["cause"]])
+        verdict = self.taking.read(time.monotonic(), digest)
+        if verdict == "same":
+            self.standing = "adopted" if digest == self.taking.adopted else "refused"
+            if digest == self.taking.adopted:
+                self.refusal = {}
+        if verdict != "take":
+            return
+        if "faults" in found:
+            self.taking.refuse(digest)
+            self._refuse(digest, found["faults"])
+        else:
+            self._consider(digest, found)
+
+    def _apart(self) -> dict[str, Any]:
+        """What the reading process says. Its standard library and parser only: it starts in a tenth of a second."""
+        words = [sys.executable, "-m", "ironfall.files.reader", self.terms.path, str(self.terms.most)]
+        process = subprocess.Popen([*words, self.taking.adopted], stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+        try:
+            told, cause = process.communicate(timeout=self.terms.read_time / SECOND)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+            return {"cause": f"reading it took over {self.terms.read_time / SECOND:g}s"}
+        if process.returncode or len(told) > OUT_MOST:
+            last = cause.decode("utf-8", "replace").strip().splitlines()[-1:]
+            return {"cause": f"its reading ended with {process.returncode}: {' '.join(last)}"[:300]}
+        found: dict[str, Any] = json.loads(told)
+        return found
+
+    def _consider(self, digest: str, found: dict[str, Any]) -> None:
+        live, now = self.live, self.wall()
+        told = ServerSet.from_json(found["set"])
+        first = self.adoption is None
+        after = self.merge.adopt(told, now, first)
+        # Nothing stands yet: neither the registry's list nor a set of ours.
+        judged = check(self.merge, after, now, live.terms.name, live.terms.zones, live.terms.service.cold_time,
+                       Allowed(self.terms.remove, self.terms.cold), first and not self.merge.rows)  # fmt: skip
+        self.notes = judged.notes
+        if judged.problems:
+            self.taking.refuse(digest)
+            self._refuse(digest, judged.problems)
+            return
+        would = difference(self.merge, after, now, live.terms.service, live.terms.lines_each_second)
+        summary = f"{len(would.leave)} hosts leave, {len(would.join)} come, {len(would.weigh)} weights"
+        by = told.by or found["owner"]
+        number = self.adoption.number + 1 if self.adoption else 1
+        adoption = Adoption(number, now, by, digest, found["texts"], told, after.since, summary)
+        # Durable first: a director that is killed here comes back with it, and has published nothing of it yet.
+        store = self.store
+        if store is not None:
+            self._keep(lambda: store.adopted(adoption))
+        try:
+            self._hand(after, True)
+        except BadList as wrong:
+            self.taking.refuse(digest)
+            self._refuse(digest, [str(wrong)])
+            return
+        self.adoption, self.standing, self.refusal = adoption, "adopted", {}
+        self.taking.took(digest)
+        self.counts["adopted"] += 1
+        self.log.info("servers adopted", number=number, by=by, digest=digest, summary=summary, notes=judged.notes[:5])
+        gevent.spawn_later(EFFECT_AFTER, self._effect, adoption, live.publication.version, live.channel.sent,
+                           live.counts.get("returns", 0), self._withdrawn())  # fmt: skip
+
+    def _withdrawn(self) -> int:
+        return sum(n for what, n in self.live.counts.items() if what.startswith("withdrawals"))
+
+    def _effect(self, adoption: Adoption, version: int, sent: float, returns: int, withdrawn: int) -> None:
+        live = self.live
+        adoption.effect = (
+            f"in {EFFECT_AFTER:g}s: versions {version} to {live.publication.version}, "
+            f"{live.channel.sent - sent:g} lines, {self._withdrawn() - withdrawn} withdrawals, "
+            f"{live.counts.get('returns', 0) - returns} returns"
+        )
+        store = self.store
+        if store is not None:
+            self._keep(lambda: store.effect(adoption.number, adoption.effect))
+
+    def _keep(self, write: Callable[[], None]) -> None:
+        try:
+            self.pool.apply(write)
+            self.store_state = "good"
+        except OSError as wrong:
+            # It serves on: what is not kept is lost only if the director ends before the disk takes it.
+            self.counts["store refusals"] += 1
+            self.store_state = f"not kept yet: {wrong.strerror or wrong}"
+            self.log.error("servers' store", cause=str(wrong))
+
+    def _refuse(self, digest: str, causes: list[str]) -> None:
+        if self.refusal.get("causes") != causes[:20]:
+            self.log.warning("servers refused", digest=digest, causes=causes[:5],
+                             stays=self.adoption.number if self.adoption else 0)  # fmt: skip
+        self.counts["refused"] += 1
+        self.standing = "refused"
+        self.refusal = {"digest": digest, "at": round(self.wall(), 1), "causes": causes[:20]}
+
+    def status(self) -> dict[str, Any]:
+        now, one = self.wall(), self.adoption
+        pins = {n: {"weight": p.weight, "owner": p.owner, "reason": p.reason, "left_s": round(p.until - now)}
+                for n, p in self.merge.told.pins.items() if p.until > now}  # fmt: skip
+        adopted = {"number": one.number, "at": round(one.at, 1), "by": one.by, "digest": one.digest,
+                   "summary": one.summary} if one else {}  # fmt: skip
+        return {
+            "path": self.terms.path, "standing": self.standing, "adopted": adopted, "refused": self.refusal,
+            "notes": self.notes[:20], "pins": pins, "store": self.store_state, "counts": dict(self.counts),
+        }  # fmt: skip
+
+    def history(self) -> list[dict[str, Any]]:
+        found = self.store.adoptions if self.store is not None else [self.adoption] if self.adoption else []
+        return [{"number": a.number, "at": a.at, "by": a.by, "digest": a.digest, "summary": a.summary,
+                 "effect": a.effect} for a in found]  # fmt: skip
+
+    def texts(self, number: int) -> dict[str, str] | None:
+        found = self.store.adoptions if self.store is not None else [self.adoption] if self.adoption else []
+        return next((a.texts for a in found if a.number == number), None)
--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -63,6 +63,8 @@
     held: float = 0.0  # what waits there, by its own gauge, with all proxies' exchanges
     gauged: int = -LONGEST_WAIT
     brake: float = 1.0  # how much of its share it is given while it is slow for its share
+    floor: float = 0.0  # what its operators hold its share between
+    cap: float = 1e6
 
     def gauge(self, now: int, gauge: Gauge) -> None:
         # What waits now is heard of seconds before its late answers are.
@@ -271,6 +273,13 @@
             it.gauge(now - age, gauge)
             it.held = max(held, it.held) if failing else it.held
 
+    def held_between(self, host: bytes, floor: float, cap: float) -> None:
+        """What its operators hold its learnt weight between; the same twice is a weight fixed by hand."""
+        it = self.hosts.get(host)
+        if it:
+            it.floor, it.cap = floor, cap
+            it.share = min(cap, max(floor, it.share))
+
     def woken(self, now: int, token: int) -> None:
         if token:
             self.orders.watch_list()
@@ -387,7 +396,8 @@
         for host in seen:
             want = scale / host.latency.value / host.share
             if abs(want - 1) > 0.2:
-                host.share *= min(1.1, max(0.9, 1 + (want - 1) / 5))
+                share = host.share * min(1.1, max(0.9, 1 + (want - 1) / 5))
+                host.share = min(host.cap, max(host.floor, share))
 
     def _strength(self, now: int, host: Host) -> float:
         # Half of what a cold host can surely carry: clients that come again, proxies not yet told add to it.
--- a/ironfall/terms/__init__.py
+++ b/ironfall/terms/__init__.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ironfall.files.terms import FilesTerms
 from ironfall.interface import ExchangeClass, ServiceTerms
 from ironfall.metrics.mapping import fault
 from ironfall.metrics.point import Malformed
@@ -75,6 +76,7 @@
     limits: Limits
     proxy: ProxyTerms
     metrics: MetricsTerms
+    files: FilesTerms
 
     def zone(self, name: str) -> int:
         return self.zones.index(name)
@@ -182,6 +184,13 @@
     return "", 0
 
 
+def _part(source: Source, node: Node) -> float:
+    part = (_united(source, node, {"%": 0.01}, "a part") or 0.0)
+    if part > 1:
+        source.fault(node.at, f"expected a part of at most 100%, not {node.word}")
+    return part
+
+
 def _yes(source: Source, node: Node) -> bool:
     return _one_of("yes", "no")(source, node) == "yes"
 
@@ -204,7 +213,8 @@
     return ""
 
 
-_ZERO: dict[Any, Any] = {_text: "", _time: 0, _size: 0, _number: 0.0, _count: 0, _address: ("", 0), _yes: False}
+_ZERO: dict[Any, Any] = {_text: "", _time: 0, _size: 0, _number: 0.0, _count: 0, _address: ("", 0), _yes: False,
+                          _part: 0.0}
 _REPEATABLE = _one_of("never", "keyed", "always")
 _SCOPE = _one_of("all", "zone", "cell")
 _LEVELS = _one_of("share", "none")
@@ -287,6 +297,24 @@
     return terms
 
 
+def _files(source: Source, form: _Form) -> FilesTerms:
+    usual = FilesTerms()
+    terms = FilesTerms(
+        path=form.get("path", _text, "") if form.node.parts else "",
+        store=form.get("store", _text, ""),
+        settle=form.get("settle", _time, usual.settle),
+        poll=form.get("poll", _time, usual.poll),
+        most=form.get("most", _size, usual.most),
+        read_time=form.get("read-time", _time, usual.read_time),
+        remove=form.get("remove", _part, usual.remove),
+        cold=form.get("cold", _part, usual.cold),
+    )
+    if form.node.parts and not terms.path:
+        source.fault(form.node.at, '(files ...) needs (path "FILE")')
+    form.done()
+    return terms
+
+
 def _names(source: Source, form: _Form, head: str) -> tuple[str, ...]:
     nodes = form.values_of(head, True) or []
     names = []
@@ -391,6 +419,7 @@
         limits=bounds,
         proxy=own,
         metrics=_metrics(source, top.form("metrics", False), service.gauges),
+        files=_files(source, top.form("files", False)),
     )
     for form in (top, channel, cold, reports, probes, listing, limits, proxy, prices):
         form.done()
--- /dev/null
+++ b/tests/test_files_live.py
@@ -0,0 +1,314 @@
+"""Operators' files in a running director: renames, writes in place, wreckage, restarts, pins, and going back."""
+
+import json
+import os
+import time
+from datetime import UTC, datetime
+from pathlib import Path
+
+import gevent
+import pytest
+from click.testing import CliRunner
+
+from ironfall.api.http import HttpClient
+from ironfall.cli import main
+from ironfall.director.roster import BadList
+from ironfall.files.reader import read
+from ironfall.files.terms import FilesTerms
+from tests.rig import TERMS, Rig, until
+from tests.test_director import bound
+
+
+class Place:
+    """The watched path of one test."""
+
+    def __init__(self, folder, **terms):
+        self.path = folder / "servers.sexp"
+        usual = {"settle": 400, "poll": 2_000, "store": str(folder / "store")}
+        self.terms = FilesTerms(path=str(self.path), **{**usual, **terms})
+
+    def rig(self, **more):
+        return Rig(hosts=9, files=self.terms, **more)
+
+    def rename(self, text):
+        fresh = self.path.with_suffix(".new")
+        fresh.write_text(text)
+        os.replace(fresh, self.path)
+
+
+def servers(*rows, by="ops"):
+    return f'(servers "resale" (by "{by}")\n  ' + "\n  ".join(rows) + ")\n"
+
+
+def drain(*hosts):
+    return servers(*(f'(host "{host}" (state drain))' for host in hosts))
+
+
+def ready(running):
+    return {e.host.partition("@")[0] for e in running.live.roster.entries.values() if e.ready}
+
+
+def adopted(running, number, seconds=10):
+    files = running.program.files
+    until(lambda: files.adoption and files.adoption.number == number and files.standing == "adopted", seconds)
+
+
+def refused(running, what, seconds=10):
+    files = running.program.files
+    until(lambda: any(what in cause for cause in files.refusal.get("causes", ())), seconds)
+
+
+def known(running, name):
+    hosts = running.live.decisions.hosts.values()
+    return next(h for h in hosts if running.live.roster.hosts[h.id].startswith(f"{name}@"))
+
+
+def test_a_renamed_file_is_adopted_and_reaches_proxies_as_a_withdrawal(tmp_path):
+    place = Place(tmp_path)
+    with place.rig() as running:
+        peer = bound(running)
+        place.rename(drain("h1"))
+        adopted(running, 1)
+        until(lambda: any(h.startswith("h1@") for h in running.live.publication.outs))
+        place.rename(drain())
+        adopted(running, 2)
+        until(lambda: not running.live.publication.outs)
+        assert peer and running.program.files.status()["adopted"]["by"] == "ops"
+
+
+@pytest.mark.parametrize("notices", [True, False])
+def test_a_file_written_in_place_is_taken_when_it_is_whole(tmp_path, monkeypatch, notices):
+    if not notices:  # as on a network disk: polling finds it
+        monkeypatch.setattr("ironfall.files.watch.INotify", lambda **_: (_ for _ in ()).throw(OSError()))
+    place = Place(tmp_path)
+    with place.rig() as running:
+        text = drain("h1", "h2")
+        with open(place.path, "w") as file:
+            for n in range(0, len(text), 9):  # the writer is slow, and may well have died at any of these
+                file.write(text[n : n + 9])
+                file.flush()
+                gevent.sleep(0.01)
+                assert ready(running) >= {"h1", "h2"}
+        adopted(running, 1)
+        assert not ready(running) & {"h1", "h2"}
+
+
+def test_a_writer_that_dies_in_the_middle_leaves_the_last_good_set_and_the_cause_is_shown(tmp_path):
+    place = Place(tmp_path)
+    with place.rig() as running:
+        place.rename(drain("h1"))
+        adopted(running, 1)
+        place.path.write_text(drain("h1", "h2")[:-12])
+        refused(running, "servers.sexp:")
+        assert "h1" not in ready(running) and "h2" in ready(running)
+        status = json.loads(HttpClient(running.address).call("GET", "/v1/status", 5).body)["files"]
+        assert status["standing"] == "refused" and status["adopted"]["number"] == 1
+        place.rename(drain("h2"))
+        adopted(running, 2)
+        assert not running.program.files.refusal and "h1" in ready(running)
+
+
+def test_a_file_that_goes_missing_is_no_loss_of_servers(tmp_path):
+    place = Place(tmp_path)
+    with place.rig() as running:
+        place.rename(servers('(host "n1" (address "127.0.8.1:9") (zone "hill"))', '(host "h1" (state drain))'))
+        adopted(running, 1)
+        place.path.unlink()
+        until(lambda: running.program.files.standing == "missing")
+        assert "n1" in ready(running) and "h1" not in ready(running)
+
+
+@pytest.mark.parametrize(("make", "what"), [
+    (lambda p: os.mkfifo(p), "no plain file"),
+    (lambda p: p.mkdir(), "no fragment"),
+    (lambda p: p.symlink_to(p), "Too many levels"),
+    (lambda p: p.write_bytes(b"(servers\xff"), "no UTF-8"),
+    (lambda p: p.write_text("(" * 5000), "nested 5000 deep"),
+    (lambda p: p.write_text("x" * 3000), "over the limit"),
+    (lambda p: p.write_text(drain("h0", "h3", "h6")), "of harbour would be ready"),
+    (lambda p: p.write_text(drain(*(f"h{n}" for n in range(9)))), "no class would have a ready host"),
+])  # fmt: skip
+def test_what_is_no_good_set_is_refused_whole_and_named(tmp_path, make, what):
+    place = Place(tmp_path, most=2500 if "limit" in what else 16 << 20)
+    with place.rig() as running:
+        make(place.path)
+        refused(running, what)
+        assert len(ready(running)) == 9
+        gevent.sleep(0.05)
+        if place.path.is_dir():
+            place.path.rmdir()
+        else:
+            place.path.unlink()
+        place.rename(drain("h1"))
+        adopted(running, 1)
+
+
+def test_no_permission_is_named(tmp_path):
+    path = tmp_path / "a.sexp"
+    path.write_text(drain("h1"))
+    path.chmod(0)
+    found = read(str(path), 1000)
+    assert "Permission denied" in found.get("cause", "") or os.getuid() == 0
+
+
+def test_fragments_of_a_folder_and_swapped_links(tmp_path):
+    place = Place(tmp_path)
+    for name, hosts in (("one", ("h1",)), ("two", ("h2", "h4"))):
+        (tmp_path / name).mkdir()
+        for n, host in enumerate(hosts):
+            (tmp_path / name / f"{n}.sexp").write_text(drain(host).replace('(by "ops")', ""))
+    place.path.symlink_to(tmp_path / "one")
+    with place.rig() as running:
+        adopted(running, 1)
+        assert "h1" not in ready(running)
+        (tmp_path / "link").symlink_to(tmp_path / "two")
+        os.replace(tmp_path / "link", place.path)
+        adopted(running, 2)
+        assert not ready(running) & {"h2", "h4"} and "h1" in ready(running)
+        # One fragment that is broken holds back the others' changes too.
+        (tmp_path / "two" / "0.sexp").write_text(drain("h5").replace('(by "ops")', ""))
+        (tmp_path / "two" / "9.sexp").write_text("(servers")
+        refused(running, "9.sexp:1:1")
+        assert "h5" in ready(running)
+        (tmp_path / "two" / "9.sexp").unlink()
+        adopted(running, 3)
+        assert not ready(running) & {"h5", "h4"} and "h2" in ready(running)
+
+
+def test_two_writers_that_race_end_as_one_of_them(tmp_path):
+    place = Place(tmp_path)
+    with place.rig() as running:
+
+        def write(host):
+            for _ in range(60):
+                place.path.write_text(drain(host))
+                gevent.sleep(0.003)
+
+        gevent.joinall([gevent.spawn(write, host) for host in ("h1", "h2")])
+        until(lambda: running.program.files.standing == "adopted")
+        gevent.sleep(0.3)
+        assert len({"h1", "h2"} - ready(running)) == 1
+
+
+def test_a_restart_adopts_the_last_good_set_before_the_first_proxy_joins(tmp_path):
+    place = Place(tmp_path)
+    with place.rig() as running:
+        new = '(host "n1" (address "127.0.8.1:9") (zone "hill") (warm yes))'
+        place.rename(servers(new, '(host "h1" (state drain))'))
+        adopted(running, 1)
+    place.path.write_text("(half")
+    running = Rig(hosts=9, files=place.terms)
+    assert "n1" in {e.host.partition("@")[0] for e in running.live.roster.entries.values()}
+    with running:
+        until(lambda: len(ready(running)) == 9)
+        assert "h1" not in ready(running) and "n1" in ready(running)
+        assert running.program.files.history()[0]["number"] == 1
+
+
+def test_a_store_that_is_torn_or_taken_leaves_the_director_serving(tmp_path):
+    place = Place(tmp_path)
+    with place.rig() as running:
+        place.rename(drain("h1"))
+        adopted(running, 1)
+        place.rename(drain("h2"))
+        adopted(running, 2)
+        with Rig(hosts=9, files=place.terms) as second:
+            assert "in use" in second.program.files.store_state
+            adopted(second, 1)
+    journal = next((tmp_path / "store").glob("*.journal"))
+    journal.write_bytes(journal.read_bytes()[:-20])
+    place.path.unlink()
+    with place.rig() as running:
+        assert running.program.files.adoption.number == 1 and running.program.files.store.faults
+        until(lambda: len(ready(running)) == 8)
+
+
+def test_a_pin_holds_a_weight_against_learning_and_ends_by_itself(tmp_path):
+    place = Place(tmp_path)
+    ends = datetime.fromtimestamp(time.time() + 3, UTC).isoformat()
+    with place.rig() as running:
+        pin = f'(pin "h1" (weight 0.7) (owner "ops") (reason "r") (until "{ends}"))'
+        place.rename(servers(pin, '(bounds "h2" (floor 1.5) (cap 2))'))
+        adopted(running, 1)
+        until(lambda: known(running, "h1").share == 0.7 and known(running, "h2").share == 1.5)
+        assert (known(running, "h1").floor, known(running, "h1").cap) == (0.7, 0.7)
+        assert "h1" in running.program.files.status()["pins"]
+        until(lambda: known(running, "h1").cap > 1000)
+        assert known(running, "h2").cap == 2 and not running.program.files.status()["pins"]
+
+
+def test_a_clock_that_jumps_neither_ends_nor_lengthens_a_pin(tmp_path):
+    place = Place(tmp_path)
+    ends = datetime.fromtimestamp(time.time() + 60, UTC).isoformat()
+    with place.rig() as running:
+        files, jump = running.program.files, [0.0]
+        place.rename(servers(f'(pin "h1" (weight 0.7) (owner "ops") (reason "r") (until "{ends}"))'))
+        adopted(running, 1)
+        until(lambda: known(running, "h1").cap == 0.7)
+        files.wall = lambda: time.time() + jump[0]
+        jump[0] = 3600.0
+        gevent.sleep(0.3)
+        assert known(running, "h1").cap == 0.7
+
+
+def test_history_status_and_going_back_by_the_command_line(tmp_path):
+    place = Place(tmp_path)
+    with place.rig() as running:
+        at = ["--director", f"127.0.0.1:{running.address[1]}"]
+
+        def call(*words):
+            # The command's own sockets wait as greenlets do, beside the director in this process.
+            return gevent.spawn(CliRunner().invoke, main, ["files", *words, *at]).get()
+
+        for number, host in enumerate(("h1", "h2"), 1):
+            place.rename(drain(host))
+            adopted(running, number)
+        assert call("history").output.count("hosts leave") == 2 and call("status").exit_code == 0
+        assert call("revert", "1").exit_code == 0 and call("revert", "9").exit_code == 2
+        adopted(running, 3)
+        assert "h1" not in ready(running) and "h2" in ready(running)
+        place.rename("(wrong")
+        refused(running, "servers.sexp")
+        assert call("status").exit_code == 1
+
+
+def test_check_diff_and_plan_without_a_director(tmp_path):
+    old, new, rows = tmp_path / "old.sexp", tmp_path / "new.sexp", tmp_path / "list.json"
+    old.write_text(drain("h1"))
+    new.write_text(drain("h1", "h2"))
+    zones = ("harbour", "hill", "plain")
+    rows.write_text(json.dumps({"hosts": [{"name": f"h{n}", "address": f"127.0.8.{n}:9", "zone": zones[n % 3],
+                                           "state": "ready"} for n in range(9)]}))  # fmt: skip
+
+    def call(*words):
+        return CliRunner().invoke(main, ["files", *map(str, words), "--registry", str(rows)])
+
+    assert call("check", TERMS, new).exit_code == 0
+    found = call("diff", TERMS, old, new)
+    assert found.exit_code == 0 and "leaves  h2@" in found.output and "lines" in found.output
+    assert "1 portions" in call("plan", TERMS, old, new).output
+    new.write_text(drain("h0", "h3", "h6"))
+    found = call("check", TERMS, new)
+    assert found.exit_code == 1 and "refused: no host of harbour" in found.output
+    new.write_text("(servers")
+    assert call("check", TERMS, new).exit_code == 2
+
+
+def test_a_registry_that_tells_nonsense_changes_nothing(tmp_path):
+    place = Place(tmp_path)
+    with place.rig() as running:
+        for wrong in (7, [3], [{"name": "x"}], [{"name": "x", "address": "y", "zone": "nowhere", "state": "ready"}]):
+            with pytest.raises(BadList):
+                running.program.files.registry(wrong, True)
+        assert len(ready(running)) == 9 and len(running.program.files.merge.rows) == 9
+
+
+def test_terms_of_files_are_checked():
+    text = Path(TERMS).read_text().rstrip()[:-1]
+    runner = CliRunner()
+    with runner.isolated_filesystem():
+        wrong = {"(files (settle 1s))": 'needs (path "FILE")', '(files (path "x") (remove 130%))': "at most"}
+        for part, what in wrong.items():
+            Path("t.sexp").write_text(text + part + ")")
+            found = runner.invoke(main, ["terms", "check", "t.sexp"])
+            assert found.exit_code == 2 and what in found.output
--- /dev/null
+++ b/tests/test_files_parts.py
@@ -0,0 +1,347 @@
+"""Operators' files, the pure parts: notation, merge, checks, when a change is taken, the store killed at writes."""
+
+import json
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ironfall.durable.disk import Folder
+from ironfall.files.checks import Allowed, check, difference
+from ironfall.files.merge import Merge, Misshapen
+from ironfall.files.notation import read_set
+from ironfall.files.servers import ServerSet
+from ironfall.files.store import KEPT, Adoption, Store
+from ironfall.files.taking import Taking
+from ironfall.terms import Unreadable
+from tests.disks import Died, Disk
+from tests.rig import TERMS
+
+NOW = 1_790_000_000.0
+ZONES = ("harbour", "hill", "plain")
+GOOD = """(servers "resale" (by "ops")
+  (host "h1" (state drain))
+  (host "n1" (address "127.0.9.9:9000") (zone "hill") (weight 1.5))
+  (pin "h2" (weight 0.5) (owner "ops") (reason "slow disk") (until "2030-01-01T00:00:00Z"))
+  (bounds "h3" (floor 0.5) (cap 2)))
+"""
+AS_JSON = json.dumps({
+    "servers": "resale", "by": "ops",
+    "hosts": [{"name": "h1", "state": "drain"},
+              {"name": "n1", "address": "127.0.9.9:9000", "zone": "hill", "weight": 1.5}],
+    "pins": [{"name": "h2", "weight": 0.5, "owner": "ops", "reason": "slow disk", "until": "2030-01-01T00:00:00Z"}],
+    "bounds": [{"name": "h3", "floor": 0.5, "cap": 2}],
+})  # fmt: skip
+
+
+def rows(count=9, **changed):
+    return [{"name": f"h{n}", "address": f"127.0.9.{n + 1}:9000", "zone": ZONES[n % 3], "state": "ready",
+             **changed.get(f"h{n}", {})} for n in range(count)]  # fmt: skip
+
+
+def told(text, name="a.sexp"):
+    return read_set([(name, text.encode())])
+
+
+def faults(*fragments):
+    with pytest.raises(Unreadable) as wrong:
+        read_set([(name, text if isinstance(text, bytes) else text.encode()) for name, text in fragments])
+    return str(wrong.value)
+
+
+def judged(text, before=None, now=NOW, allowed=None, first=False, registry=None):
+    standing = before or Merge().registry(registry if registry is not None else rows(), True)
+    after = standing.adopt(told(text), now, first)
+    found = check(standing, after, now, "resale", ZONES, 100_000, allowed or Allowed(), first and not standing.rows)
+    return found, after
+
+
+# notation
+
+
+def test_both_forms_say_the_same():
+    a, b = told(GOOD).as_json(), told(AS_JSON, "a.json").as_json()
+    for found in (a, b):
+        for part in ("hosts", "pins", "bounds"):
+            for one in found[part].values():
+                one.pop("place")
+    assert a == b and a["hosts"]["n1"]["weight"] == 1.5
+    assert ServerSet.from_json(json.loads(json.dumps(told(GOOD).as_json()))) == told(GOOD)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.integers(0, len(GOOD.rstrip()) - 1), st.integers(0, len(AS_JSON) - 1))
+def test_a_file_cut_anywhere_is_refused(at, other):
+    faults(("a.sexp", GOOD[:at]))
+    faults(("a.json", AS_JSON[:other]))
+
+
+@pytest.mark.parametrize(("text", "place", "what"), [
+    ('(servers "s"\n  (host "a" (wieght 2)))', "a.sexp:2:21", "unknown word 'wieght'"),
+    ('(servers "s"\n  (host "a")\n (host "a"))', "a.sexp:3:2", "second time; the first is at a.sexp:2:3"),
+    ('(servers "s" (host "a" (weight 0)))', "a.sexp:1:32", "to take a host out, drain it"),
+    ('(servers "s" (host "a" (weight 1e9)))', "a.sexp:1:32", "expected a number from"),
+    ('(servers "s" (host "a" (address "127.0.0.1:9")))', "a.sexp:1:14", "an address and no zone"),
+    ('(servers "s" (host "a" (address "300.0.0.1:9") (zone "z")))', "a.sexp:1:33", "expected an address"),
+    ('(servers "s" (pin "a" (weight 1)))', "a.sexp:1:14", "pin needs owner"),
+    ('(servers "s" (pin "a" (weight 1) (owner "o") (reason "r") (until "soon")))', "a.sexp:1:66", "expected a time"),
+    ('(servers "s" (bounds "a" (floor 2) (cap 1)))', "a.sexp:1:14", "above its cap"),
+    ('(servers "s")\n(servers "s")', "a.sexp:2:1", "nothing else"),
+    ('(servers "s" (leave (remove 60)))', "a.sexp:1:29", "expected a part"),
+    ("(" * 500 + ")" * 500, "a.sexp:1:1", "nested 500 deep"),
+    ("", "a.sexp:1:1", "expected one list"),
+])  # fmt: skip
+def test_what_is_wrong_is_named_with_its_place(text, place, what):
+    found = faults(("a.sexp", text))
+    assert place in found and what in found
+
+
+def test_wrong_bytes_wrong_json_and_fragments_that_disagree_are_named():
+    assert "a.sexp:2:2: a byte that is no UTF-8" in faults(("a.sexp", b'(servers\n \xff "x")'))
+    assert "twice in one object" in faults(("a.json", '{"servers": "s", "servers": "t"}'))
+    assert "hosts[1]" in faults(("a.json", '{"servers": "s", "hosts": [{"name": "a"}, {"name": "b", "x": 1}]}'))
+    assert "nested too deep" in faults(("a.json", '{"servers":' + "[" * 100_000))
+    assert "beside those of" in faults(("a.sexp", '(servers "s")'), ("b.sexp", '(servers "t")'))
+    assert "the first is at a.sexp" in faults(("a.sexp", '(servers "s" (host "a"))'),
+                                              ("b.json", '{"servers": "s", "hosts": [{"name": "a"}]}'))  # fmt: skip
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.data())
+def test_any_bytes_are_a_set_or_refused_with_places(data):
+    text = bytearray(data.draw(st.sampled_from([GOOD, AS_JSON])).encode())
+    for _ in range(data.draw(st.integers(1, 4))):
+        at = data.draw(st.integers(0, len(text) - 1))
+        text[at : at + data.draw(st.integers(0, 9))] = data.draw(st.binary(max_size=9))
+    for name in ("a.sexp", "a.json"):
+        try:
+            read_set([(name, bytes(text))])
+        except Unreadable as wrong:
+            assert wrong.faults
+
+
+# merge
+
+
+def states(merge, now=NOW):
+    return {row["name"]: (row["state"], row.get("weight", 1.0)) for row in merge.merged(now)}
+
+
+def test_who_wins():
+    both = Merge().registry(rows(h4={"state": "draining"}), True).adopt(told("""(servers "resale"
+      (host "h1" (state drain)) (host "h2" (state gone)) (host "h3" (weight 3)) (host "h4" (state ready))
+      (host "h5" (weight 3)) (pin "h5" (weight 2) (owner "o") (reason "r") (until "2026-10-01T00:00:00Z"))
+      (host "h6" (address "127.0.9.99:1") (zone "hill")) (host "new" (address "127.0.9.98:1") (zone "hill")))"""),
+      NOW, False)  # fmt: skip
+    before = 1_790_000_000.0  # ahead of the pin's end
+    found = states(both, before)
+    assert found["h1"][0] == "draining" and "h2" not in found and found["h3"] == ("ready", 3)
+    assert found["h4"][0] == "draining" and found["h5"] == ("ready", 2.0) and found["new"] == ("ready", 1.0)
+    assert states(both, NOW * 2)["h5"] == ("ready", 3)
+    assert sum(row["name"] == "h6" for row in both.merged(NOW)) == 1  # the registry knows where it is
+
+
+def test_a_host_new_in_a_file_is_cold_and_stays_of_that_age_over_adoptions():
+    merge = Merge().registry(rows(), True)
+    one = '(servers "resale" (host "n" (address "127.0.9.98:1") (zone "hill")))'
+    first = merge.adopt(told(one), NOW, False)
+    assert first.merged(NOW + 5)[-1]["age_ms"] == 5000
+    second = first.adopt(told(one + "\n"), NOW + 50, False)
+    assert second.merged(NOW + 60)[-1]["age_ms"] == 60_000
+    assert "age_ms" not in merge.adopt(told(one.replace('"hill"', '"hill") (warm yes')), NOW, False).merged(NOW)[-1]
+
+
+def test_changes_of_the_registry_add_to_what_stands_and_nonsense_changes_nothing():
+    merge = Merge().registry(rows(3), True)
+    after = merge.registry([{"name": "h1", "address": "127.0.9.2:9000", "zone": "hill", "state": "gone"}], False)
+    assert set(states(after)) == {"h0", "h2"} and set(states(merge)) == {"h0", "h1", "h2"}
+    for wrong in (7, [7], [{}], [{"name": "a"}]):
+        with pytest.raises(Misshapen):
+            merge.registry(wrong, True)
+
+
+# checks
+
+
+@pytest.mark.parametrize(("text", "what"), [
+    ('(servers "other")', "this is 'resale'"),
+    ('(servers "resale" (host "n" (address "127.0.9.98:1") (zone "moor")))', "none of harbour"),
+    ('(servers "resale" (host "h0" (state drain)) (host "h3" (state drain)) (host "h6" (state drain)))', "of harbour"),
+    ('(servers "resale" (host "h0" (state drain)) (host "h1" (state drain)) (host "h2" (state gone)))', "33% of the"),
+    ('(servers "resale" ' + "".join(f'(host "h{n}" (state drain))' for n in range(9)) + ")", "no class would have"),
+    ('(servers "resale" ' + "".join(f'(host "n{n}" (address "127.0.8.{n}:1") (zone "hill"))' for n in range(20)) + ")",
+     "cold hosts that appear at once"),
+    ('(servers "resale" (host "n" (address "127.0.9.98:1") (zone "hill")) '
+     '(host "m" (address "127.0.9.98:1") (zone "hill")))', "has the address of n"),
+    ('(servers "resale" (host "h1" (weight 40)))', "would be given 95%"),
+    ('(servers "resale" (pin "h1" (weight 0.001) (owner "o") (reason "r") (until "2030-01-01T00:00:00Z"))'
+     '(pin "h4" (weight 0.001) (owner "o") (reason "r") (until "2030-01-01T00:00:00Z"))'
+     '(pin "h7" (weight 0.001) (owner "o") (reason "r") (until "2030-01-01T00:00:00Z")))', "33% of the ready"),
+])  # fmt: skip
+def test_what_may_not_be_adopted_is_refused_whole(text, what):
+    found, _ = judged(text)
+    assert any(what in problem for problem in found.problems), found
+
+
+def test_all_ready_hosts_cold_is_refused():
+    found, _ = judged('(servers "resale")', registry=rows(3, **{f"h{n}": {"age_ms": 10} for n in range(3)}))
+    assert "no class would have a ready host that is warm" in found.problems
+
+
+def test_leave_counts_for_the_change_that_it_came_with_and_no_other():
+    leave = '(leave (remove 70%) (owner "o") (reason "r"))'
+    two = '(host "h0" (state drain)) (host "h1" (state drain))'
+    four = two + '(host "h2" (state drain)) (host "h4" (state drain))'
+    found, after = judged(f'(servers "resale" {leave} {four})')
+    assert not found.problems
+    six = four + '(host "h5" (state drain)) (host "h7" (state drain))'
+    again, _ = judged(f'(servers "resale" {leave} {six})', before=after)
+    assert any("of the ready capacity" in problem for problem in again.problems)
+    assert judged(f'(servers "resale" {four})')[0].problems
+
+
+def test_a_first_set_without_a_registry_may_name_anything_ready():
+    hosts = "".join(f'(host "n{n}" (address "127.0.8.{n}:1") (zone "{ZONES[n % 3]}"))' for n in range(20))
+    found, after = judged(f'(servers "resale" {hosts})', before=Merge(), first=True)
+    assert not found.problems and len(after.merged(NOW)) == 20
+
+
+def test_a_difference_says_what_leaves_and_in_how_many_portions():
+    from ironfall.terms import read_terms
+
+    terms = read_terms(str(TERMS), TERMS.read_text())
+    before = Merge().registry(rows(60), True)
+    drains = before.adopt(told('(servers "resale" (host "h0" (state drain)))'), NOW, False)
+    found = difference(before, drains, NOW, terms.service, terms.lines_each_second)
+    assert found.leave == ["h0@127.0.9.1:9000"] and found.portions == 1 and 0 < found.seconds < 0.1
+    many = "".join(f'(host "n{n}" (address "127.0.8.{n}:1") (zone "hill") (warm yes))' for n in range(250))
+    more = before.adopt(told(f'(servers "resale" {many})'), NOW, False)
+    found = difference(before, more, NOW, terms.service, terms.lines_each_second)
+    assert len(found.join) == 250 and found.portions == 2 and found.lines >= 250 * 9
+    assert difference(before, before, NOW, terms.service, 1.0).lines == 0
+
+
+# when a change is taken
+
+
+def test_a_rename_is_taken_at_once_and_a_write_in_place_when_read_twice_alike():
+    taking = Taking(0.2)
+    assert taking.look(0.0, "a", renamed=True) and taking.read(0.0, "A") == "take"
+    taking.took("A")
+    assert not taking.look(1.0, "b") and not taking.look(1.05, "b") and taking.look(1.11, "b")
+    assert taking.read(1.11, "B1") == "again" and not taking.look(1.2, "b")
+    assert taking.look(1.35, "b") and taking.read(1.35, "B2") == "again"  # still being written
+    assert taking.look(1.6, "b") and taking.read(1.6, "B2") == "take"
+    taking.refuse("B2")
+    assert not taking.look(9.0, "b")
+    assert not taking.look(9.1, "c") and taking.look(9.3, "c") and taking.read(9.3, "B2") == "same"
+    assert taking.look(10.0, "a", True) and taking.read(10.0, "A") == "same"
+
+
+def test_what_can_not_be_read_is_tried_again_ever_less_often_and_then_only_when_it_changes():
+    taking, now, tries = Taking(0.2), 0.0, 0
+    while now < 1000:
+        if taking.look(now, "a"):
+            assert taking.read(now, "") == "again"
+            tries += 1
+        now += 0.05
+    assert tries == 12
+    assert not taking.look(now, None) and not taking.look(now, "a") and taking.look(now + 1, "a")
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.integers(0, 3), st.booleans(), st.integers(0, 4)), max_size=40))
+def test_nothing_is_taken_but_by_a_rename_or_twice_alike(steps):
+    taking, now, seen, renames = Taking(0.2), 0.0, [], False
+    for signature, renamed, digest in steps:
+        now += 0.15
+        if taking.signature != signature:
+            seen, renames = [], renamed
+        if taking.look(now, signature, renamed):
+            seen.append(digest)
+            if taking.read(now, str(digest)) == "take":
+                assert renames or seen[-2:] == [digest, digest]
+                taking.took(str(digest))
+
+
+# the store
+
+
+def adoption(number):
+    text = f'(servers "resale" (by "o{number}"))'
+    return Adoption(number, NOW + number, f"o{number}", f"d{number}", {"a.sexp": text}, told(text), {}, "nothing")
+
+
+def work(disk, confirmed, count=6):
+    store = Store(disk)
+    store.open()
+    for number in range(1, count + 1):
+        confirmed["trying"] = number
+        store.adopted(adoption(number))
+        confirmed["state"] = number
+        store.effect(number, f"effect {number}")
+
+
+def test_killed_at_every_write_the_store_has_the_last_set_that_was_adopted(monkeypatch):
+    monkeypatch.setattr("ironfall.files.store.SNAPSHOT_EVERY", 4)
+    counting = Disk()
+    work(counting, {})
+    for dies_at in range(1, counting.done + 1):
+        for seed in range(4):
+            disk, confirmed = Disk(seed, dies_at), {"state": 0, "trying": 0}
+            with pytest.raises(Died):
+                work(disk, confirmed)
+            store = Store(disk.crash())
+            last = store.open()
+            number = last.number if last else 0
+            assert confirmed["state"] <= number <= confirmed["trying"]
+            assert [a.number for a in store.adoptions] == list(range(1, number + 1))
+            if last:
+                assert last.told == told(last.texts["a.sexp"])
+            store.adopted(adoption(number + 1))
+            assert Store(disk).open().number == number + 1
+
+
+def test_a_full_disk_leaves_it_serving_and_everything_is_written_when_there_is_room():
+    disk = Disk(full_from=1, full_until=10)
+    store, refused = Store(disk), 0
+    store.open()
+    for number in range(1, 30):
+        try:
+            store.adopted(adoption(number))
+        except OSError:
+            refused += 1
+    assert refused and store.adoptions[-1].number == 29 and not store.unwritten
+    again = Store(disk)
+    assert again.open().number == 29 and len(again.adoptions) == 29
+
+
+def test_the_store_stays_small_and_its_history_bounded(tmp_path):
+    store = Store(Folder(tmp_path))
+    store.open()
+    for number in range(1, 600):
+        store.adopted(adoption(number))
+    assert len(store.adoptions) == KEPT
+    assert sum(f.stat().st_size for f in tmp_path.iterdir()) < 600_000
+    store.disk.close()
+    again = Store(Folder(tmp_path))
+    assert again.open().number == 599 and len(again.adoptions) == KEPT
+
+
+def test_records_that_make_no_sense_are_named_and_passed_over(tmp_path):
+    disk = Disk()
+    store = Store(disk)
+    store.open()
+    store.adopted(adoption(1))
+    for payload in (b"{", b"[]", b'{"kind": "adopted"}', b'{"kind": "adopted", "adoption": {"number": 9}}'):
+        store.journal.append(payload)
+    store.adopted(adoption(2))
+    again = Store(disk)
+    assert again.open().number == 2 and len(again.faults) == 4
+
+
+def test_shuffled_fragments_make_one_set_whatever_their_order():
+    pieces = [(f"{n}.sexp", f'(servers "resale" (host "h{n}" (weight {n + 1})))'.encode()) for n in range(9)]
+    shuffled = random.Random(1).sample(pieces, 9)
+    assert read_set(pieces).hosts.keys() == read_set(shuffled).hosts.keys()
