--- /dev/null
+++ b/deploy/days/servers/quiet.sexp
@@ -0,0 +1,1 @@
+(servers "resale" (by "ops"))
--- a/ironfall/cli.py
+++ b/ironfall/cli.py
@@ -96,12 +96,15 @@
 
 
 def _run_director(file: Path, listen: Any, registry: Any, name: str, zone: str, seed: int | None,
-                  record: Path | None, decide: Any, readings: Any = None) -> None:  # fmt: skip
+                  record: Path | None, decide: Any, readings: Any = None, files: str = "", store: str = "",
+                  ) -> None:  # fmt: skip
     from ironfall.director.program import Program
 
     read = terms_from(file)
     if readings:
         read = replace(read, metrics=replace(read.metrics, collectd_listen=readings))
+    if files:
+        read = replace(read, files=replace(read.files, path=files, store=store))
     read = replace(read, listen=listen or read.listen, registry=registry or read.registry)
     if zone and zone not in read.zones:
         raise click.BadParameter(f"{zone!r} is none of the zones {', '.join(read.zones)}")
@@ -493,6 +496,8 @@
 @director_options
 @click.option("--as", "policy", default="ironfall", help="ironfall, a baseline, or a wrong one; see lab/others.py.")
 @click.option("--readings", type=ADDRESS, help="Where to listen for collectd, in place of the terms' address.")
+@click.option("--files", default="", help="Operators' servers and weights, in place of the terms' path.")
+@click.option("--store", default="", help="Where what was adopted of them is kept.")
 def lab_director(file: Path, policy: str, **about: Any) -> None:
     """Run a director with another's decisions: baselines, and wrong ones to try the judge on."""
     from ironfall.lab.others import DIRECTORS
--- a/ironfall/lab/day.py
+++ b/ironfall/lab/day.py
@@ -26,11 +26,12 @@
 from pathlib import Path
 
 # Each trouble, and the words it takes after its name: h a host, z a zone, d a director, c a class, p a part, t a time,
-# x a number. `for TIME` says how long it lasts; those without it are over at once.
+# x a number, f a file beside the day's. `for TIME` says how long it lasts; those without it are over at once.
 TROUBLES = {
     "crash": "h", "restart": "h", "vanish": "h", "hang": "h", "drain": "h", "errors": "hp", "slow": "hx", "pause": "ht",
     "classfail": "hc", "swap": "hh", "refuse": "h", "lose": "z", "cut": "z", "break": "p", "kill": "d", "stop": "d",
     "unlist": "h", "late": "t", "lie": "hx", "unread": "h",
+    "adopt": "f", "err": "f", "scribble": "fp",
 }  # fmt: skip
 LASTING = {"crash", "vanish", "hang", "errors", "slow", "pause", "classfail", "lose", "cut", "kill", "stop", "drain",
            "refuse", "unlist", "late", "lie", "unread"}  # fmt: skip
@@ -220,6 +221,8 @@
                     raise line.fail(f"no {names[letter]} is called {word!r}")
             elif letter == "p":
                 line.part()
+            elif letter == "f":
+                beside(day, line.word("a file"))
             elif letter == "t":
                 line.time()
             else:
@@ -227,6 +230,11 @@
     day.troubles.sort(key=lambda t: t.at)
 
 
+def beside(day: Day, word: str) -> Path:
+    """A file that the day names."""
+    return Path(day.file).parent / word
+
+
 def part_of(word: str) -> float:
     return float(word.rstrip("%")) / 100
 
@@ -243,6 +251,11 @@
     """A copy of a day that goes by other terms, written to `to`."""
     lines = path.read_text().splitlines()
     words = [f"terms {terms.resolve()}" if line.split()[:1] == ["terms"] else line for line in lines]
+    # What a day names is beside it; the copy is elsewhere.
+    for n, line in enumerate(words):
+        if line.split()[2:3] and TROUBLES.get(line.split()[2], "").startswith("f"):
+            at, when, what, file, *rest = line.split()
+            words[n] = " ".join([at, when, what, str((path.parent / file).resolve()), *rest])
     to.parent.mkdir(parents=True, exist_ok=True)
     to.write_text("\n".join(words) + "\n")
     return to
--- a/ironfall/lab/judge.py
+++ b/ironfall/lab/judge.py
@@ -96,6 +96,8 @@
         self.proxies: dict[str, ProxyTape] = {}
         self.tries: dict[str, list[tuple[int, str]]] = defaultdict(list)
         self.lists: dict[str, list[tuple[int, bool, list[Any]]]] = defaultdict(list)
+        self.as_listed: dict[str, tuple[str, int]] = {}  # the registry's last word on each host
+        self.drained: set[str] = set()  # by name: what operators' files drain
         self.ran: dict[int, list[dict[str, Any]]] = defaultdict(list)
         self.ups: dict[str, list[dict[str, Any]]] = defaultdict(list)
         self.came: dict[tuple[str, int], list[tuple[int, float, str]]] = defaultdict(list)
@@ -181,7 +183,20 @@
         self.tries[row["who"]].append((t, row["host"]))
 
     def _on_listed(self, t: int, row: dict[str, Any]) -> None:
-        self.lists[row["to"]].append((t, row["whole"], row["rows"]))
+        rows = [[host, self._filed(host, state), began] for host, state, began in row["rows"]]
+        self.lists[row["to"]].append((t, row["whole"], rows))
+        for host, state, began in row["rows"]:
+            self.as_listed[host] = (state, began)
+
+    def _filed(self, host: str, state: str) -> str:
+        return "draining" if state == "ready" and host.partition("@")[0] in self.drained else state
+
+    def _on_filed(self, t: int, row: dict[str, Any]) -> None:
+        """Operators put a whole set in place: directors are told by it, as by the registry's list."""
+        self.drained = set(row["drained"])
+        rows = [[host, self._filed(host, state), began] for host, (state, began) in self.as_listed.items()]
+        for told in self.lists.values():
+            told.append((t, False, rows))
 
     def _on_ran(self, _t: int, row: dict[str, Any]) -> None:
         self.ran[row["token"]].append(row)
--- a/ironfall/lab/play.py
+++ b/ironfall/lab/play.py
@@ -3,6 +3,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -17,8 +18,9 @@
 import gevent
 from gevent.server import StreamServer
 
+from ironfall.files.notation import read_set
 from ironfall.lab.clients import rates
-from ironfall.lab.day import Day, Trouble, load, part_of, seconds_of
+from ironfall.lab.day import Day, Trouble, beside, load, part_of, seconds_of
 from ironfall.lab.hosts import Fleet
 from ironfall.lab.judge import Judge, Verdict
 from ironfall.lab.nodes import Nodes, To
@@ -109,8 +111,15 @@
         self.net = f"127.{1 + os.getpid() % 254}"
         self.ip = f"{self.net}.0.1"
         folder.mkdir(parents=True, exist_ok=True)
+        self.filed: Path | None = None
+        if any(t.what in ("adopt", "err", "scribble") for t in day.troubles):
+            self.filed = folder / "servers.sexp"
+            self.filed.unlink(missing_ok=True)
+            for store in folder.glob("store-*"):
+                shutil.rmtree(store)
         for old in [*folder.glob("*.tape"), *folder.glob("*.log"), *folder.glob("*.turns")]:
             old.unlink()
+        self.tape = Tape(folder / "operators.tape")
 
     def _start(self, name: str, *words: str) -> None:
         log = open(self.folder / f"{name}.log", "ab")
@@ -196,6 +205,8 @@
         count = self.starts_of[name]
         seed = self.seed * 1000 + sorted(self.director_at).index(name) * 100 + count
         read = ["--readings", _text(self.read_at[name])] if name in self.read_at else []
+        if self.filed:
+            read += ["--files", str(self.filed), "--store", str(self.folder / f"store-{name}")]
         self._start(name, "--log", "json", "lab", "director", str(self.terms_file), "--as", self.director, "--listen",
                     _text(self.director_at[name]), "--registry", _text(self.registry), "--name", name, "--zone", zone,
                     "--seed", str(seed), "--record", str(self.folder / f"{name}-{count}.turns"), *read)  # fmt: skip
@@ -231,6 +242,8 @@
         elif what == "break":
             for wire in self.wires:
                 wire.drop(part_of(words[0]), self.chance)
+        elif what in ("adopt", "err", "scribble"):
+            self._file(what, words)
         elif what == "late":
             self._command("late", [], seconds_of(words[0]))
             gevent.spawn_later(seconds, self._command, "late", [], 0.0)
@@ -242,6 +255,21 @@
                     gevent.spawn_later(seconds, wire.heal)
             self._command(what, list(words), seconds)
 
+    def _file(self, what: str, words: tuple[str, ...]) -> None:
+        """An operator's change: whole by a rename (`err`: one that no director may adopt), or a part in place."""
+        assert self.filed is not None
+        data = beside(self.day, words[0]).read_bytes()
+        if what == "scribble":
+            self.filed.write_bytes(data[: int(len(data) * part_of(words[1]))])
+            return
+        fresh = self.filed.with_suffix(".new")
+        fresh.write_bytes(data)
+        if what == "adopt":
+            told = read_set([(words[0], data)])
+            self.tape.teller("operators")("filed", drained=[h.name for h in told.hosts.values() if h.state != "ready"])
+            self.tape.flush()
+        fresh.replace(self.filed)
+
     def _signal(self, name: str, which: signal.Signals) -> None:
         process = self.running[name]
         if process.poll() is None:
--- a/tests/test_files_live.py
+++ b/tests/test_files_live.py
@@ -18,6 +18,8 @@
 from tests.rig import TERMS, Rig, until
 from tests.test_director import bound
 
+ZONES = ("harbour", "hill", "plain")
+
 
 class Place:
     """The watched path of one test."""
@@ -205,6 +207,43 @@
         assert running.program.files.history()[0]["number"] == 1
 
 
+def test_a_director_killed_between_adoption_and_publication_comes_back_with_it(tmp_path, monkeypatch):
+    place = Place(tmp_path)
+    with place.rig() as running:
+
+        def killed(merge, fresh):
+            raise gevent.GreenletExit  # nothing after this line of the adoption takes place
+
+        monkeypatch.setattr(running.program.files, "_hand", killed)
+        place.rename(drain("h1"))
+        until(lambda: running.program.files.running[0].dead)
+        assert "h1" in ready(running) and not running.program.files.adoption
+    with place.rig() as running:
+        adopted(running, 1)
+        assert "h1" not in ready(running)
+
+
+def test_a_large_set_goes_out_in_portions_within_the_queue(tmp_path):
+    place = Place(tmp_path)
+    queue = 400.0
+    with place.rig(service={"queue_limit": queue, "proxies": 9}) as running:
+        pairs = [bound(running, f"p{n}") for n in range(6)]
+        live, before = running.live, running.live.publication.version
+        new = [f'(host "n{n}" (address "127.0.8.{n + 1}:9") (zone "{ZONES[n % 3]}") (warm yes))' for n in range(90)]
+        place.rename(servers(*new, '(leave (cold 100%) (owner "o") (reason "r"))'))
+
+        def follow(peer, holding):
+            # A proxy that confirms what it is sent: what is not confirmed holds back the next portion.
+            while len(holding.lines(0)) < 90:
+                status, state = peer.poll(version=holding.version, wait_ms=500)
+                if status == 200:
+                    holding.apply(state)
+
+        gevent.joinall([gevent.spawn(follow, *pair) for pair in pairs], timeout=40, raise_error=True)
+        assert all(len(holding.lines(0)) >= 90 for _, holding in pairs)
+        assert live.channel.most <= queue and live.publication.version >= before + 2
+
+
 def test_a_store_that_is_torn_or_taken_leaves_the_director_serving(tmp_path):
     place = Place(tmp_path)
     with place.rig() as running:
