--- a/ironfall/cli.py
+++ b/ironfall/cli.py
@@ -291,8 +291,8 @@
         before = before.adopt(_read_servers(old), now, True)
     after = before.adopt(_read_servers(new), now, old is None)
     allowed = Allowed(terms.files.remove, terms.files.cold)
-    judged = check(before, after, now, terms.name, terms.zones, terms.service.cold_time, allowed,
-                   old is None and not before.rows)  # fmt: skip
+    judged = check(before, after, now, terms.name, terms.zones, terms.classes, terms.service.cold_time,
+                   allowed, old is None and not before.rows)  # fmt: skip
     return judged, difference(before, after, now, terms.service, terms.lines_each_second), terms
 
 
@@ -591,6 +591,36 @@
     sys.exit(0 if played.verdict.kept else 1)
 
 
+@lab.command("model")
+@click.option("--proxies", default=1, show_default=True)
+@click.option("--versions", default=3, show_default=True)
+@click.option("--epochs", default=2, show_default=True)
+@click.option("--losses", default=1, show_default=True, help="Messages lost or overtaken, at most.")
+@click.option("--repeats", default=1, show_default=True, help="Messages that come twice, at most.")
+@click.option("--mutant", default="", help="With one thing wrong; `list` names them.")
+@click.option("--most", default=1_000_000, show_default=True, help="States.")
+def lab_model(proxies: int, versions: int, epochs: int, losses: int, repeats: int, mutant: str, most: int) -> None:
+    """Visit every state of the long-poll protocol in the small; exit 1 where something that must hold does not.
+
+    \b
+    Example:
+      ironfall lab model --proxies 2 --versions 2 --epochs 1
+    """
+    from ironfall.lab.model import MUTANTS, Bounds, Explorer, Rules
+
+    if mutant and mutant not in MUTANTS:
+        for name, (_, what) in MUTANTS.items():
+            click.echo(f"{name}: caught by {what}")
+        sys.exit(0 if mutant == "list" else 2)
+    rules = MUTANTS[mutant][0]() if mutant else Rules()
+    explorer = Explorer(Bounds(proxies, versions, epochs, 1, repeats, losses), rules)
+    count, wrong, way = explorer.explore(most, lambda n: click.echo(f"{n} states", err=True))
+    click.echo(f"{count} states: {wrong or 'everything holds in each'}")
+    for step in way:
+        click.echo(f"  {step}")
+    sys.exit(1 if wrong else 0)
+
+
 @lab.command("judge")
 @click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
 def lab_judge(folder: Path) -> None:
--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -17,14 +17,13 @@
 from ironfall.director.clock import Clock
 from ironfall.director.intake import sane
 from ironfall.director.roster import BadList
-from ironfall.director.sessions import Full, Session
+from ironfall.director.sessions import Full, Session, due
 from ironfall.director.turns import Decide, Live
 from ironfall.files.service import Files
 from ironfall.generated import ironfall_pb2 as pb
 from ironfall.logic import Director
 from ironfall.metrics.point import Malformed
 from ironfall.metrics.service import Metrics
-from ironfall.publication import Delta
 from ironfall.terms import Terms
 
 SECOND = 10_000
@@ -275,7 +274,9 @@
                     raise Refused(503, "this director is stopping; turn to another", 1)
                 if session.waiter != mine:
                     return Answer(204)  # a newer poll of this session has taken over
-                delta = self._news(session, version, whole)
+                delta, why = due(live.publication, session, version, whole)
+                if why:
+                    live.want_whole(session, why)
                 if delta is not None:
                     carried = [(m.version, int(m.leaves - m.ordered) * 100, round(m.lines)) for m in session.carried]
                     return Answer(200, *codec.encode_state(delta, carried, *_accepted(request)))
@@ -290,19 +291,6 @@
             session.held -= 1
             session.heard = live.clock.now()
 
-    def _news(self, session: Session, version: int, whole: bool) -> Delta | None:
-        live, published = self.live, self.live.publication
-        stale = version > session.released or not published.reaches(version, session.released)
-        if whole or stale:
-            if session.whole_at < 0:
-                never = version > session.released
-                why = "asked for" if whole else "never published" if never else "compacted"
-                live.want_whole(session, why)
-                return None
-            session.whole_at = -1
-            return published.delta(session.number, -1, session.released)
-        return published.delta(session.number, version, session.released) if version < session.released else None
-
     def _sums(self, request: Request) -> Answer:
         sums, live = self._decode(pb.Sums, request), self.live
         session, now = self._session(sums.session), self.live.clock.now()
--- a/ironfall/director/sessions.py
+++ b/ironfall/director/sessions.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ironfall.director.channel import Message
+from ironfall.publication import Delta, Publication
 
 SECOND = 10_000
 
@@ -78,3 +79,17 @@
         done = [m for m in session.carried if m.version <= version]
         session.carried = [m for m in session.carried if m.version > version]
         return done
+
+
+def due(published: Publication, session: Session, version: int, whole: bool) -> tuple[Delta | None, str]:
+    """What a poll that names a version is told now, if anything, or why a whole state must go by the channel first.
+
+    `whole`: the proxy asks for one, because it can't go on from what it holds.
+    """
+    never = version > session.released
+    if whole or never or not published.reaches(version, session.released):
+        if session.whole_at < 0:
+            return None, "asked for" if whole else "never published" if never else "compacted"
+        session.whole_at = -1
+        return published.delta(session.number, -1, session.released), ""
+    return (published.delta(session.number, version, session.released) if version < session.released else None), ""
--- a/ironfall/director/turns.py
+++ b/ironfall/director/turns.py
@@ -30,7 +30,7 @@
 BEAT = 0.1  # seconds; the loop reads the clock at least that often, and so sees its own standstill
 EVERYONE = 65535
 # Events of one turn go to the module in this order; those of a kind in the order in which they came.
-KINDS = ("listed", "held_between", "list_failed", "left", "joined", "applied", "probed", "gauged")
+KINDS = ("listed", "held_between", "kept_from", "list_failed", "left", "joined", "applied", "probed", "gauged")
 RANK = {kind: rank for rank, kind in enumerate(KINDS)}
 
 Decide = Callable[[Orders, ServiceTerms, random.Random, int], Any]
@@ -328,7 +328,7 @@
 def _revive(call: list[Any]) -> list[Any]:
     if call[0] == "listed":
         return ["listed", [Listing(bytes.fromhex(row[0]), *row[1:]) for row in call[1]], *call[2:]]
-    if call[0] in ("heard", "probed", "gauged", "held_between"):
+    if call[0] in ("heard", "probed", "gauged", "held_between", "kept_from"):
         place = 2 if call[0] == "heard" else 1
         return [*call[:place], bytes.fromhex(call[place]), *call[place + 1 :]]
     return call
--- a/ironfall/files/checks.py
+++ b/ironfall/files/checks.py
@@ -40,8 +40,8 @@
     return {key: (zone, weight, age) for key, (zone, weight, age) in found.items()}  # type: ignore[misc]
 
 
-def check(before: Merge, after: Merge, now: float, service: str, zones: tuple[str, ...], cold_time: int,
-          allowed: Allowed, first: bool) -> Judged:  # fmt: skip
+def check(before: Merge, after: Merge, now: float, service: str, zones: tuple[str, ...],
+          classes: tuple[str, ...], cold_time: int, allowed: Allowed, first: bool) -> Judged:  # fmt: skip
     """`first`: nothing stands yet, so that nothing can be removed. `cold_time` is in tenths of a millisecond."""
     judged = Judged()
     told = after.told
@@ -57,6 +57,7 @@
         judged.problems.append("no class would have a ready host that is warm")
     if not will and (known or told.hosts):
         judged.problems.append("no class would have a ready host")
+    _classes(judged, after, classes, will, warm)
     leave = _leave(before.told, told)
     if known and was:
         _capacity(judged, was, will, allowed, leave)
@@ -65,6 +66,19 @@
     return judged
 
 
+def _classes(judged: Judged, after: Merge, classes: tuple[str, ...], will: Any, warm: set[str]) -> None:
+    kept: dict[str, set[str]] = {}
+    for name, host in after.told.hosts.items():
+        for kind in host.keep:
+            kept.setdefault(kind, set()).add(name)
+            if kind not in classes:
+                judged.problems.append(f"{host.place}: {kind!r} is none of the classes {', '.join(classes)}")
+    for kind in sorted(kept.keys() & set(classes)):
+        left = [key for key in will if key.partition("@")[0] not in kept[kind]]
+        if will and not warm.intersection(left):
+            judged.problems.append(f"{kind} would have no ready host that is warm")
+
+
 def _leave(before: ServerSet, told: ServerSet) -> Leave:
     # Leave counts for the change that it came with: one that was left standing allows nothing more.
     new, old = told.leave, before.leave
--- a/ironfall/files/notation.py
+++ b/ironfall/files/notation.py
@@ -2,6 +2,7 @@
 
     (servers "resale" (by "ops")
       (host "h01" (state drain))
+      (host "h02" (keep "settle" "hold"))
       (host "h17" (address "127.0.1.9:9000") (zone "hill") (weight 1.5))
       (pin "h03" (weight 0.5) (owner "ops") (reason "slow disk") (until "2026-12-01T15:00:00Z"))
       (bounds "h04" (floor 0.5) (cap 2))
@@ -81,6 +82,13 @@
             self.fault(place, "expected yes or no")
         return value in ("yes", True)
 
+    def classes(self, value: Any, place: str) -> list[str]:
+        found = value if isinstance(value, list) else [value]
+        if found and all(isinstance(one, str) and one for one in found) and len(set(found)) == len(found) <= 100:
+            return list(found)
+        self.fault(place, "expected names of classes in quotes, each once")
+        return []
+
     def address(self, value: Any, place: str) -> str:
         found = ADDRESS.match(value) if isinstance(value, str) else None
         if found and all(int(n) < 256 for n in found.groups()[:4]) and 0 < int(found[5]) < 65536:
@@ -105,7 +113,7 @@
             self.fault(place, f"{name[:40]!r} is no name of a host")
         elif kind == "host":
             got = self._fields(kind, fields, place, (), address=self.address, zone=self.text, weight=self.number,
-                               state=self.state, warm=self.yes)  # fmt: skip
+                               state=self.state, warm=self.yes, keep=self.classes)  # fmt: skip
             if got.get("address") and not got.get("zone"):
                 self.fault(place, f"{name} has an address and no zone")
             self._once(found.hosts, FileHost(name, **got, place=place))
@@ -199,13 +207,15 @@
     fields: dict[str, tuple[Any, str]] = {}
     for part in parts:
         at = places.text(part.at)
-        if len(part.parts) != 2 or not part.head:
+        several = part.head == "keep" and len(part.parts) > 2
+        if not part.head or (len(part.parts) != 2 and not several):
             reading.fault(at, f"expected (word value) in ({kind} ...)")
         elif part.head in fields:
             reading.fault(at, f"{part.head} stands here a second time")
         else:
             value = part.parts[1]
-            fields[part.head] = (value.word or value.value, places.text(value.at))
+            told = [one.word or one.value for one in part.parts[1:]] if several else value.word or value.value
+            fields[part.head] = (told, places.text(value.at))
     return kind, first, fields, place
 
 
--- a/ironfall/files/servers.py
+++ b/ironfall/files/servers.py
@@ -16,6 +16,7 @@
     weight: float = 0.0  # 0: the registry's
     state: str = "ready"
     warm: bool = False  # it ran long before it was first named here
+    keep: list[str] = field(default_factory=list)  # classes that are kept off it
     place: str = ""
 
 
--- a/ironfall/files/service.py
+++ b/ironfall/files/service.py
@@ -35,6 +35,7 @@
         self.live, self.terms, self.log, self.wall = live, terms, log, wall
         self.merge = Merge()
         self.held: dict[bytes, tuple[float, float]] = {}
+        self.kept: dict[bytes, int] = {}  # classes kept off a host, as a mask
         self.taking = Taking(terms.settle / SECOND)
         self.counts: Counter[str] = Counter()
         self.refusal: dict[str, Any] = {}
@@ -102,17 +103,24 @@
         listing = live.roster.read(live.clock.now(), merge.merged(now), True)
         self.merge = merge
         self._put("listed", listing, True, fresh)
-        held = {}
+        held, kept = {}, {}
         for entry in live.roster.entries.values():
-            bounds = merge.held(entry.host.partition("@")[0], now)
+            name = entry.host.partition("@")[0]
+            bounds = merge.held(name, now)
             if bounds != FREE:
                 held[entry.id] = bounds
+            if classes := merge.kept(name):
+                kept[entry.id] = sum(1 << live.terms.kind(kind) for kind in classes)
         # All that are held, each time: a host that was gone and came again has forgotten.
         for host, bounds in held.items():
             self._put("held_between", host, *bounds)
         for host in self.held.keys() - held.keys():
             self._put("held_between", host, *FREE)
-        self.held = held
+        for host, kinds in kept.items():
+            self._put("kept_from", host, kinds)
+        for host in self.kept.keys() - kept.keys():
+            self._put("kept_from", host, 0)
+        self.held, self.kept = held, kept
 
     def _put(self, *event: Any) -> None:
         while not self.live.put(*event):
@@ -204,8 +212,9 @@
         first = self.adoption is None
         after = self.merge.adopt(told, now, first)
         # Nothing stands yet: neither the registry's list nor a set of ours.
-        judged = check(self.merge, after, now, live.terms.name, live.terms.zones, live.terms.service.cold_time,
-                       Allowed(self.terms.remove, self.terms.cold), first and not self.merge.rows)  # fmt: skip
+        nothing = first and not self.merge.rows
+        judged = check(self.merge, after, now, live.terms.name, live.terms.zones, live.terms.classes,
+                       live.terms.service.cold_time, Allowed(self.terms.remove, self.terms.cold), nothing)  # fmt: skip
         self.notes = judged.notes
         if judged.problems:
             self.taking.refuse(digest)
--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -17,6 +17,7 @@
 TICK = SECOND // 2  # health twice a second, tables once, as the design gathers them
 QUARTER, RAMP = 0.25, 8 * SECOND  # the design's return of a retried or restarted host
 FIRST_WAIT, LONGEST_WAIT = 5 * SECOND, 60 * SECOND
+NEVER = 1 << 62
 BAR = 4 * FIRST_WAIT  # a host barred for a class serves the others meanwhile: no haste to try it there
 SMOOTH, STREAM = 30 * SECOND, 8 * SECOND  # the design's smoothing of latency; that of what comes and goes
 CLASS_FLOOR, FLOOR = 0.08, 0.25  # no class is shut out whole: the worst-served one counts too
@@ -280,6 +281,18 @@
             it.floor, it.cap = floor, cap
             it.share = min(cap, max(floor, it.share))
 
+    def kept_from(self, now: int, host: bytes, kinds: int) -> None:
+        """Classes that its operators keep off a host, as a mask: they get tables of their own, without it."""
+        it = self.hosts.get(host)
+        if it is None:
+            return
+        for kind, grade in enumerate(self.grades):
+            if kinds >> kind & 1:
+                it.barred[kind] = grade.apart = NEVER
+            elif it.barred[kind] == NEVER:
+                it.barred[kind] = 0
+                grade.apart = NEVER if any(h.barred[kind] == NEVER for h in self.hosts.values()) else now + BAR
+
     def woken(self, now: int, token: int) -> None:
         if token:
             self.orders.watch_list()
--- a/tests/test_files_live.py
+++ b/tests/test_files_live.py
@@ -276,6 +276,31 @@
         assert known(running, "h2").cap == 2 and not running.program.files.status()["pins"]
 
 
+def test_a_class_is_kept_off_a_host_and_the_others_are_not(tmp_path):
+    place = Place(tmp_path)
+    with place.rig() as running:
+        peer, holding = bound(running)
+
+        def serves(kind, host):
+            return any(h.startswith(f"{host}@") for h in holding.lines(kind))
+
+        def follow():
+            while True:
+                status, state = peer.poll(version=holding.version, wait_ms=500)
+                if status == 200:
+                    holding.apply(state)
+
+        job = gevent.spawn(follow)
+        place.rename(servers('(host "h0" (keep "hold"))'))
+        adopted(running, 1)
+        until(lambda: not serves(1, "h0") and serves(0, "h0") and serves(2, "h0") and serves(1, "h3"), 15)
+        place.rename(servers())
+        adopted(running, 2)
+        until(lambda: serves(1, "h0"), 60)
+        assert not job.dead
+        job.kill()
+
+
 def test_a_clock_that_jumps_neither_ends_nor_lengthens_a_pin(tmp_path):
     place = Place(tmp_path)
     ends = datetime.fromtimestamp(time.time() + 60, UTC).isoformat()
--- a/tests/test_files_parts.py
+++ b/tests/test_files_parts.py
@@ -21,15 +21,16 @@
 
 NOW = 1_790_000_000.0
 ZONES = ("harbour", "hill", "plain")
+CLASSES = ("listing", "hold", "settle")
 GOOD = """(servers "resale" (by "ops")
-  (host "h1" (state drain))
+  (host "h1" (state drain) (keep "hold" "settle"))
   (host "n1" (address "127.0.9.9:9000") (zone "hill") (weight 1.5))
   (pin "h2" (weight 0.5) (owner "ops") (reason "slow disk") (until "2030-01-01T00:00:00Z"))
   (bounds "h3" (floor 0.5) (cap 2)))
 """
 AS_JSON = json.dumps({
     "servers": "resale", "by": "ops",
-    "hosts": [{"name": "h1", "state": "drain"},
+    "hosts": [{"name": "h1", "state": "drain", "keep": ["hold", "settle"]},
               {"name": "n1", "address": "127.0.9.9:9000", "zone": "hill", "weight": 1.5}],
     "pins": [{"name": "h2", "weight": 0.5, "owner": "ops", "reason": "slow disk", "until": "2030-01-01T00:00:00Z"}],
     "bounds": [{"name": "h3", "floor": 0.5, "cap": 2}],
@@ -54,7 +55,8 @@
 def judged(text, before=None, now=NOW, allowed=None, first=False, registry=None):
     standing = before or Merge().registry(registry if registry is not None else rows(), True)
     after = standing.adopt(told(text), now, first)
-    found = check(standing, after, now, "resale", ZONES, 100_000, allowed or Allowed(), first and not standing.rows)
+    nothing = first and not standing.rows
+    found = check(standing, after, now, "resale", ZONES, CLASSES, 100_000, allowed or Allowed(), nothing)
     return found, after
 
 
@@ -176,6 +178,8 @@
      "cold hosts that appear at once"),
     ('(servers "resale" (host "n" (address "127.0.9.98:1") (zone "hill")) '
      '(host "m" (address "127.0.9.98:1") (zone "hill")))', "has the address of n"),
+    ('(servers "resale" (host "h1" (keep "buy")))', "none of the classes"),
+    ('(servers "resale" ' + "".join(f'(host "h{n}" (keep "hold" "settle"))' for n in range(9)) + ")", "settle would"),
     ('(servers "resale" (host "h1" (weight 40)))', "would be given 95%"),
     ('(servers "resale" (pin "h1" (weight 0.001) (owner "o") (reason "r") (until "2030-01-01T00:00:00Z"))'
      '(pin "h4" (weight 0.001) (owner "o") (reason "r") (until "2030-01-01T00:00:00Z"))'
