--- a/benchmarks/apply.py
+++ b/benchmarks/apply.py
@@ -10,6 +10,7 @@
 monkey.patch_all()
 
 import json  # noqa: E402
+import random  # noqa: E402
 import subprocess  # noqa: E402
 import sys  # noqa: E402
 import time  # noqa: E402
@@ -49,17 +50,25 @@
 class Reader:
     def __init__(self, address, name, zone):
         self.client, self.holding, self.out, self.moved = HttpClient(address, 5.0), Holding(2, {}), {}, Event()
-        body, form = codec.encode(pb.Join(proxy=name, zone=zone, rate=1), codec.PROTOBUF)
+        self.name, self.zone, self.size, self.joins = name, zone, 0, 0
+        self.join()
+
+    def join(self):
+        body, form = codec.encode(pb.Join(proxy=self.name, zone=self.zone, rate=1), codec.PROTOBUF)
         form["Accept"] = codec.PROTOBUF
-        self.joined = pb.Joined.FromString(self.client.call("POST", "/v1/join", 10, body, form).body)
+        while (answer := self.client.call("POST", "/v1/join", 60, body, form)).status != 200:
+            gevent.sleep(int(answer.headers.get("retry-after", 1)) * random.random())
+        self.joined = pb.Joined.FromString(answer.body)
         self.holding.join(self.joined.epoch, self.joined.version)
-        self.size = 0
+        self.joins += 1
 
     def run(self):
         headers = {"Accept": codec.PROTOBUF, "Accept-Encoding": "zstd"}
         while True:
             path = f"/v1/poll?session={self.joined.session}&epoch={self.joined.epoch}&version={self.holding.version}"
             answer = self.client.call("GET", path, 90, headers=headers)
+            if answer.status == 410:
+                self.join()
             if answer.status != 200:
                 continue
             encoding = answer.headers.get("content-encoding", "")
@@ -76,9 +85,10 @@
 def read_many(port, first, count):
     """Some of the proxies, in a process of its own: a line on stdout when they are bound, and for each change
     the moment at which the last of them had applied it."""
-    readers = [Reader(("127.0.0.1", port), f"p{n}", "abc"[n % 3]) for n in range(first, first + count)]
-    for reader in readers:
-        gevent.spawn(reader.run)
+    readers = []
+    for n in range(first, first + count):  # polls as soon as it has joined, as a proxy does
+        readers.append(Reader(("127.0.0.1", port), f"p{n}", "abc"[n % 3]))
+        gevent.spawn(readers[-1].run)
     while not all(len(r.holding.binds) == 2 for r in readers):
         gevent.sleep(0.05)
     print(json.dumps({"bound": count}), flush=True)
--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -224,6 +224,11 @@
             raise Refused(400, "rate: expected exchanges a second from 0 up")
         if len(live.events) >= self.terms.limits.events:
             raise Refused(503, "too many events wait for a turn", 1)
+        # A herd is let in as fast as it can be served: sessions opened faster lapse before their first poll is read,
+        # and all of them come again.
+        if live.sessions.fresh >= self.terms.limits.joining:
+            live.count("joins put off")
+            raise Refused(503, f"{live.sessions.fresh} proxies are joining now", self.chance.randint(1, 3))
         old = live.sessions.by_name.get(join.proxy)
         if old is not None:
             live.leave(old, "joined anew")
--- a/ironfall/director/sessions.py
+++ b/ironfall/director/sessions.py
@@ -26,6 +26,7 @@
     carried: list[Message] = field(default_factory=list)  # left the channel, not yet confirmed
     resync: bool = False  # a whole state waits in the channel
     whole_at: int = -1  # a whole state may be told up to here
+    fresh: bool = True  # its first poll has not come
 
 
 class Full(Exception):
@@ -39,6 +40,7 @@
         self.by_name: dict[str, Session] = {}
         self.by_number: dict[int, Session] = {}
         self.next = 0
+        self.fresh = 0  # sessions whose first poll has not come
 
     def open(self, now: int, token: str, name: str, zone: int, version: int, wake: Callable[[], None]) -> Session:
         if len(self.by_token) >= self.most:
@@ -47,22 +49,29 @@
             self.next = (self.next + 1) % 65_535
         session = Session(token, name, self.next, zone, version, version, now, wake, polls=2.0 * self.polls)
         self.next = (self.next + 1) % 65_535  # a number is used again as late as may be
+        self.fresh += 1
         self.by_token[token] = self.by_name[name] = self.by_number[session.number] = session
         return session
 
     def close(self, session: Session) -> None:
         self.by_token.pop(session.token, None)
+        self._polled(session)
         self.by_number.pop(session.number, None)
         if self.by_name.get(session.name) is session:
             del self.by_name[session.name]
         session.wake()
 
+    def _polled(self, session: Session) -> None:
+        self.fresh -= session.fresh
+        session.fresh = False
+
     def lapsed(self, now: int) -> list[Session]:
         """Those that hold no poll and have not polled for the time allowed: not at the first cut."""
         return [s for s in self.by_token.values() if not s.held and now - s.heard > self.lapse]
 
     def may_poll(self, now: int, session: Session) -> bool:
         """A tight loop of polls uses up its allowance; the others keep theirs."""
+        self._polled(session)
         gained = (now - session.heard) * self.polls / SECOND
         session.polls = min(2.0 * self.polls, session.polls + gained)
         session.heard = now
--- a/ironfall/terms/__init__.py
+++ b/ironfall/terms/__init__.py
@@ -31,6 +31,7 @@
     """Bounds on what peers may ask of a director, each with an answer of its own when it is met (docs/api.md)."""
 
     sessions: int = 2_000
+    joining: int = 300  # joined, and their first poll has not come: more are asked to come later
     held: int = 12_000  # connections at once
     body: int = 256 * 1024
     header_time: int = 2 * SECOND  # for a whole request to come in
@@ -381,6 +382,7 @@
     usual = Limits()
     bounds = Limits(
         sessions=limits.get("sessions", _count, usual.sessions),
+        joining=limits.get("joining", _count, usual.joining),
         held=limits.get("connections", _count, usual.held),
         body=limits.get("body", _size, usual.body),
         header_time=limits.get("request-time", _time, usual.header_time),
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -219,3 +219,18 @@
         assert first.poll()[0] == 410
         assert second.poll(wait_ms=10)[0] in (200, 204)
         assert isinstance(second, Peer)
+
+
+def test_a_herd_is_let_in_as_fast_as_it_polls():
+    # Ten thousand that joined at once lapsed before their first polls were read, joined anew, and never got through.
+    with Rig(limits={"joining": 3}) as rig:
+        peers = [rig.peer(f"p{n}") for n in range(3)]
+        late = HttpClient(rig.address)
+        body, headers = codec.encode(pb.Join(proxy="late", zone="hill", rate=1), codec.PROTOBUF)
+        answer = late.call("POST", "/v1/join", 5, body, headers)
+        assert answer.status == 503 and 1 <= int(answer.headers["retry-after"]) <= 3
+        peers[0].poll(wait_ms=1)
+        peers[0].poll(wait_ms=1)
+        assert late.call("POST", "/v1/join", 5, body, headers).status == 200
+        peers[1].post("/v1/leave", pb.Leave(session=peers[1].joined.session))
+        assert rig.live.sessions.fresh == 2
--- /dev/null
+++ b/tests/test_vectors.py
@@ -0,0 +1,26 @@
+"""The published vectors: every form says the same, and the proxy's side holds what they say."""
+
+import json
+from pathlib import Path
+
+from ironfall.lab.vectors import check, make
+
+CASES = json.loads((Path(__file__).parents[1] / "docs" / "vectors" / "states.json").read_text())
+
+
+def test_the_published_vectors_are_read_alike_in_every_form():
+    assert check(CASES) == []
+
+
+def test_the_publisher_still_makes_them():
+    # But for the compressed bytes, which are the library's.
+    made = [{k: v for k, v in case.items() if not k.endswith("+zstd")} for case in make()]
+    assert made == [{k: v for k, v in case.items() if not k.endswith("+zstd")} for case in CASES]
+    assert {case["outcome"] for case in CASES} == {"applied", "repeated", "gap"}
+
+
+def test_a_reader_that_takes_a_state_wrongly_is_found():
+    spoiled = json.loads(json.dumps(CASES))
+    spoiled[2]["then held"]["checksum"] = "1"
+    spoiled[3]["json"] = spoiled[3]["json"].replace("node2", "node3")
+    assert len(check(spoiled)) == 2
