Keep a proxy's tables on its disk, so that one that restarts picks at once

Need: a proxy that restarted waited for the list, and with nobody there had no line at all. Change: one checked record, written beside and renamed; hosts drained meanwhile left out where the list answers.

--- a/ironfall/cli.py
+++ b/ironfall/cli.py
@@ -447,8 +447,9 @@
 @click.option("--registry", type=ADDRESS, help="In place of the terms' registry.")
 @click.option("--tape", type=click.Path(path_type=Path), help="Write what crosses its sockets to this file.")
 @click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--keep", type=click.Path(path_type=Path), help="A folder: what each holds outlives it there.")
 def proxy(file: Path, who: tuple[str, ...], directors: tuple[Any, ...], registry: Any, tape: Path | None,
-          seed: int) -> None:  # fmt: skip
+          seed: int, keep: Path | None) -> None:  # fmt: skip
     """Run obedient proxies by the terms in FILE, until SIGTERM.
 
     \b
@@ -457,6 +458,7 @@
     """
     import gevent
 
+    from ironfall.durable.disk import Folder
     from ironfall.lab.play import until_told
     from ironfall.lab.tape import Tape
     from ironfall.proxy.program import Proxy, quiet
@@ -473,7 +475,8 @@
         listen = ADDRESS.convert(parts[3], None, None)
         tell = written.teller(parts[0]) if written else quiet
         dialled = list(directors) or [read.listen]
-        one = Proxy(read, parts[0], parts[1], float(parts[2]), listen, dialled, seed * 1000 + n, tell)
+        disk = Folder(keep / parts[0]) if keep else None
+        one = Proxy(read, parts[0], parts[1], float(parts[2]), listen, dialled, seed * 1000 + n, tell, None, disk)
         one.start(int(parts[4]) if len(parts) == 5 else n)
         proxies.append(one)
 
--- a/ironfall/proxy/program.py
+++ b/ironfall/proxy/program.py
@@ -8,14 +8,17 @@
 from typing import Any
 
 import gevent
-from gevent.event import AsyncResult
+from gevent.event import AsyncResult, Event
 from gevent.server import StreamServer
+from gevent.threadpool import ThreadPool
 
 from ironfall.api.exchange import Link, Outbox, frame, frames, read_gauges
 from ironfall.api.http import HttpClient
+from ironfall.durable.disk import Disk
 from ironfall.generated import ironfall_pb2 as pb
 from ironfall.proxy.follow import Follower
 from ironfall.proxy.hosts import Hosts
+from ironfall.proxy.keep import load, save
 from ironfall.proxy.picking import Picking, may_try_again
 from ironfall.proxy.sums import Gathered
 from ironfall.publication import MILLION, Holding
@@ -24,6 +27,8 @@
 SECOND = 10_000
 IN_HAND_MOST = 20_000  # exchanges at once; more are refused at once
 STANDING_TRIES = 30
+KEPT_TRIES = 2  # of the list, by a proxy that has tables to start with
+KEEP_EVERY = 1.0  # seconds between two writings
 
 
 def now() -> int:
@@ -37,11 +42,26 @@
 class Proxy:
     def __init__(self, terms: Terms, name: str, zone: str, rate: float, listen: tuple[str, int],
                  directors: list[tuple[str, int]], seed: int, tell: Callable[..., None] = quiet,
-                 standing: dict[str, int] | None = None) -> None:  # fmt: skip
-        self.terms, self.name, self.zone, self.tell = terms, name, zone, tell
+                 standing: dict[str, int] | None = None, disk: Disk | None = None) -> None:  # fmt: skip
+        """`disk`: where what it holds outlives it; `standing`: what it starts with, a few of the list's if left out."""
+        self.terms, self.name, self.zone, self.tell, self.disk = terms, name, zone, tell, disk
         self.chance = random.Random(seed)
+        kept, wrong = load(disk, len(terms.classes)) if disk else (None, "")
+        if wrong:
+            tell("kept tables not taken", cause=wrong)
+        if kept and standing is None:
+            standing = {}
+            # Who was drained meanwhile must not be sent to; a list that is silent is not waited for.
+            rows = self._rows(KEPT_TRIES)
+            gone = {host for k in kept for host in k.table} - set(rows) if rows else set()
+            for one in kept:
+                one.outs |= gone if one.table.keys() - one.outs - gone else set()
         standing = self._standing() if standing is None else standing
         self.holding = Holding(len(terms.classes), standing)
+        if kept:
+            self.holding.kept = kept
+            tell("kept tables taken", lines=[len(k.table) for k in kept])
+        self.dirty = Event()
         self.picking = Picking(self.holding, terms.proxy, self.chance)
         self.gathered = Gathered(now(), len(terms.classes))
         self.hosts = Hosts(pb.Hello(who=name, zone=zone), terms.proxy.connect_time / SECOND, terms.proxy.streams)
@@ -55,32 +75,53 @@
     def start(self, first: int = 0) -> None:
         self.server.start()
         self.follower.start(first)
+        self.keeping = gevent.spawn(self._keep, self.disk) if self.disk else None
 
     def stop(self) -> None:
         self.follower.stop()
+        if self.keeping is not None:
+            self.keeping.kill()
         self.server.stop(0.2)
 
     def _standing(self) -> dict[str, int]:
         """A few hosts of the list, in the proxy's own zone where three are there; the list is read no more."""
+        rows = self._rows(STANDING_TRIES)
+        if not rows:
+            raise ConnectionError("the list of hosts can't be had to start with")
+        home = [host for host, zone in rows.items() if zone == self.zone]
+        hosts = home if len(home) >= 3 else list(rows)
+        return {host: MILLION for host in self.chance.sample(hosts, min(len(hosts), self.terms.proxy.standing))}
+
+    def _rows(self, tries: int) -> dict[str, str]:
+        """Hosts of the list that are ready, each with its zone; none where it can't be had."""
         client = HttpClient(self.terms.registry)
-        for attempt in range(STANDING_TRIES):
+        for attempt in range(tries):
             try:
                 answer = client.call("GET", f"/v1/list?after=-1&wait_ms=0&who={self.name}", 2.0)
                 rows = [row for row in json.loads(answer.body)["hosts"] if row["state"] == "ready"]
                 if rows:
-                    break
+                    return {f"{row['name']}@{row['address']}": row["zone"] for row in rows}
             except (OSError, ValueError, KeyError, TypeError):
                 pass
-            gevent.sleep(min(2.0, 0.1 * 1.5**attempt) * (0.5 + self.chance.random()))
-        else:
-            raise ConnectionError("the list of hosts can't be had to start with")
-        home = [row for row in rows if row["zone"] == self.zone]
-        rows = home if len(home) >= 3 else rows
-        drawn = self.chance.sample(rows, min(len(rows), self.terms.proxy.standing))
-        return {f"{row['name']}@{row['address']}": MILLION for row in drawn}
+            if attempt + 1 < tries:
+                gevent.sleep(min(2.0, 0.1 * 1.5**attempt) * (0.5 + self.chance.random()))
+        return {}
+
+    def _keep(self, disk: Disk) -> None:
+        """Writes what is held soon after it changed, in a thread; a disk that refuses costs nothing else."""
+        pool = ThreadPool(1)
+        while True:
+            self.dirty.wait()
+            self.dirty.clear()
+            try:
+                pool.apply(save, (disk, self.holding))
+            except OSError as cause:
+                self.tell("tables not kept", cause=str(cause))
+            gevent.sleep(KEEP_EVERY)
 
     def _changed(self) -> None:
         self.picking.changed()
+        self.dirty.set()
         self.hosts.keep(self.holding.named())
 
     # from clients
--- a/ironfall/publication/holding.py
+++ b/ironfall/publication/holding.py
@@ -36,15 +36,19 @@
         self.admits: dict[int, tuple[int, int]] = {}
         self.sum = 0
 
+    def as_kept(self) -> list[Kept]:
+        """What each class goes by, as it would be kept over the end of this session."""
+        found = []
+        for kind, kept in enumerate(self.kept):
+            bound = kind in self.binds
+            table = self.tables.get(self.binds[kind], {}) if bound else kept.table
+            outs = set(self.outs) if bound else kept.outs | self.outs
+            found.append(Kept(dict(table), outs, self.admits.get(kind, None if bound else kept.admit)))
+        return found
+
     def join(self, epoch: int, version: int) -> None:
         """A new session began: what was held is kept for as long as nothing new is bound."""
-        for kind, kept in enumerate(self.kept):
-            if kind in self.binds:
-                kept.table = dict(self.tables.get(self.binds[kind], {}))
-                kept.outs = set(self.outs)
-            else:
-                kept.outs = kept.outs | self.outs
-            kept.admit = self.admits.get(kind, kept.admit if kind not in self.binds else None)
+        self.kept = self.as_kept()
         self.epoch, self.version, self.sum = epoch, version, 0
         self.binds, self.tables, self.outs, self.admits = {}, {}, set(), {}
 
