A conformance suite for servers of the long-poll protocol

Need: writers of other servers and our own changes had no check from outside of what docs/api.md promises.

--- /dev/null
+++ b/benchmarks/restarts.py
@@ -0,0 +1,103 @@
+"""A director killed a hundred times at random moments, while hosts are drained and return: do its proxies all end alike?
+
+The director is a process, killed without warning; five followers (the proxy's own) are here, with the registry. At the
+end, and after each tenth start, all hold the newest version with the publication's own checksum; none is ever without a
+line; no state is ever taken that does not fit.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json  # noqa: E402
+import random  # noqa: E402
+import sys  # noqa: E402
+import tempfile  # noqa: E402
+import time  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+import gevent  # noqa: E402
+
+from benchmarks.common import TERMS, Process, Registry, free_port  # noqa: E402
+from ironfall.api.http import HttpClient  # noqa: E402
+from ironfall.proxy.follow import Follower  # noqa: E402
+from ironfall.proxy.sums import Gathered  # noqa: E402
+from ironfall.publication import Holding  # noqa: E402
+
+PROXIES, HOSTS = 5, 3
+
+
+def main(restarts=100):
+    chance, registry, port = random.Random(1), Registry(HOSTS), free_port()
+    path = Path(tempfile.mkdtemp()) / "restarts.sexp"
+    path.write_text(TERMS.format(registry=registry.port, port=port, proxies=PROXIES, pace=100_000, queue=10_000))
+    now = lambda: int(time.monotonic() * 10_000)  # noqa: E731
+    standing = {f"{row['name']}@{row['address']}": 1_000_000 for row in registry.rows}
+    followers, bare, told = [], [0], {}
+
+    def tell(what, **about):
+        told[what] = told.get(what, 0) + 1
+        if what == "told":
+            told[about["outcome"]] = told.get(about["outcome"], 0) + 1
+
+    def changed():
+        # Two of three hosts drain at most: a proxy without a line was left bare.
+        bare[0] += any(not f.holding.lines(k) for f in followers for k in range(2))
+
+    for n in range(PROXIES):
+        holding = Holding(2, dict(standing))
+        followers.append(Follower(f"p{n}", "abc"[n % 3], 1.0, [("127.0.0.1", port)], holding, Gathered(now(), 2), now,
+                                  random.Random(n), changed, tell))  # fmt: skip
+        followers[-1].start(0)
+
+    def stir():
+        while True:
+            gevent.sleep(chance.uniform(0.05, 0.5))
+            for row in registry.rows:
+                row["state"] = "ready"
+            if chance.random() < 0.7:
+                registry.rows[chance.randrange(HOSTS)]["state"] = "draining"
+            registry.version += 1
+            registry.stir.set()
+
+    stirring, alike, slowest = gevent.spawn(stir), 0, 0.0
+    for n in range(1, restarts + 1):
+        with Process("-m", "ironfall", "director", str(path), "--seed", str(n), port=port) as process:
+            if n % 10:
+                gevent.sleep(chance.uniform(0.0, 3.0))
+            else:
+                stirring.kill()
+                begun = time.monotonic()
+                while not settled(followers, port):
+                    if time.monotonic() - begun > 30:
+                        raise SystemExit(f"after start {n} they do not agree")
+                    gevent.sleep(0.05)
+                slowest, alike = max(slowest, time.monotonic() - begun), alike + 1
+                stirring = gevent.spawn(stir)
+            process.process.kill()
+        if n % 10 == 0:
+            print(f"{n} starts", file=sys.stderr, flush=True)
+    print(json.dumps({"starts": restarts, "proxies": PROXIES, "hosts": HOSTS, "alike": f"{alike} of {restarts // 10}",
+                      "slowest_to_agree_s": round(slowest, 1), "without a line": bare[0],
+                      "told": dict(sorted(told.items()))}))  # fmt: skip
+    for follower in followers:
+        follower.stop()
+
+
+def settled(followers, port):
+    """Whether all hold the newest version, and those of a zone the same by checksum; and it stays so for a while."""
+    try:
+        status = json.loads(HttpClient(("127.0.0.1", port)).call("GET", "/v1/status", 5).body)
+    except OSError:
+        return False
+    zones = {}
+    for follower in followers:
+        holding = follower.holding
+        if holding.epoch != status["epoch"] or holding.version != status["version"] or len(holding.binds) != 2:
+            return False
+        zones.setdefault(follower.zone, set()).add(holding.sum)
+    return all(len(sums) == 1 for sums in zones.values())
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]) if sys.argv[1:] else 100)
--- a/ironfall/cli.py
+++ b/ironfall/cli.py
@@ -594,6 +594,27 @@
     sys.exit(0 if played.verdict.kept else 1)
 
 
+@lab.command("conform")
+@click.argument("address", type=ADDRESS)
+@click.option("--zone", required=True, help="One that proxies may join in.")
+@click.option("--classes", default=1, show_default=True, help="How many classes the service has.")
+def lab_conform(address: Any, zone: str, classes: int) -> None:
+    """Ask a server of the long-poll protocol at ADDRESS all that docs/api.md promises; exit 1 where it does otherwise.
+
+    \b
+    Example:
+      ironfall lab conform 127.0.0.1:7601 --zone hill --classes 3
+    """
+    from ironfall.lab.conform import Conform
+
+    found = Conform(address, zone, classes).run()
+    for name, wrong in found:
+        click.echo(f"{'wrong' if wrong else 'kept ':5}  {name}{': ' + wrong if wrong else ''}")
+    failed = sum(bool(wrong) for _, wrong in found)
+    click.echo(f"{len(found) - failed} kept, {failed} not")
+    sys.exit(1 if failed else 0)
+
+
 @lab.command("model")
 @click.option("--proxies", default=1, show_default=True)
 @click.option("--versions", default=3, show_default=True)
