Don't wait for a list that nobody tells in the test of torn tables

Cause: 44 s of thirty tries at a registry that is not there. Change: the torn file is judged by what reads it.

--- a/tests/test_keep.py
+++ b/tests/test_keep.py
@@ -77,8 +77,7 @@
     again = Proxy(terms, "p1", "hill", 10, ("127.0.0.1", 0), [("127.0.0.1", 9)], 1, disk=disk)
     assert again.holding.lines(0) == {host.id: 1}
     disk.files[NAME] = disk.files[NAME][:-3]
-    with pytest.raises(ConnectionError):  # torn: as if there were none, and nobody tells it a host
-        Proxy(replace(terms, registry=("127.0.0.1", 9)), "p1", "hill", 10, ("127.0.0.1", 0), [], 1, disk=disk)
+    assert load(disk, len(terms.classes))[0] is None  # torn: as if there were none
 
 
 def test_who_was_drained_meanwhile_is_not_sent_to():
