--- a/benchmarks/apply.py
+++ b/benchmarks/apply.py
@@ -120,13 +120,13 @@
 class Many:
     """Proxies dealt over a few processes: one that played hundreds would measure itself."""
 
-    def __init__(self, count, *words):
+    def __init__(self, count, *words, module="benchmarks.apply"):
         each = -(-count // min(PROCESSES, count))
         self.running, first = [], 0
         while first < count:
             mine = min(each, count - first)
             filled = [w.format(first=first, count=mine) for w in words]
-            self.running.append(subprocess.Popen([sys.executable, "-m", "benchmarks.apply", *filled],
+            self.running.append(subprocess.Popen([sys.executable, "-m", module, *filled],
                                                  stdout=subprocess.PIPE, text=True))  # fmt: skip
             first += mine
         self.line()
--- a/benchmarks/polls.py
+++ b/benchmarks/polls.py
@@ -13,7 +13,6 @@
 import json  # noqa: E402
 import os  # noqa: E402
 import resource  # noqa: E402
-import subprocess  # noqa: E402
 import sys  # noqa: E402
 import time  # noqa: E402
 from pathlib import Path  # noqa: E402
@@ -65,26 +64,6 @@
         print(json.dumps({"at": time.monotonic(), "done": done[0]}), flush=True)
 
 
-def many(count, module, *words):
-    each = -(-count // apply.PROCESSES)
-    firsts = range(0, count, each)
-    running = []
-    for first in firsts:
-        filled = [w.format(first=first, count=min(each, count - first)) for w in words]
-        running.append(subprocess.Popen([sys.executable, "-m", module, *filled], stdout=subprocess.PIPE, text=True))
-    return running
-
-
-def lines(running):
-    return [json.loads(process.stdout.readline()) for process in running]
-
-
-def end(running):
-    for process in running:
-        process.terminate()
-        process.wait()
-
-
 def main(count):
     resource.setrlimit(resource.RLIMIT_NOFILE, (resource.getrlimit(resource.RLIMIT_NOFILE)[1],) * 2)
     registry = Registry(apply.HOSTS)
@@ -92,8 +71,7 @@
     row = {"proxies": count}
     with process:
         before, begun = process.memory(), time.monotonic()
-        running = many(count, "benchmarks.apply", "--read", str(process.port), "{first}", "{count}")
-        lines(running)
+        running = apply.Many(count, "--read", str(process.port), "{first}", "{count}")
         row["joined_and_bound_s"] = round(time.monotonic() - begun, 1)
         gevent.sleep(5)
         row["bytes_a_poll"] = round((process.memory() - before) / count)
@@ -101,7 +79,7 @@
         for n in range(CHANGES):
             begun = time.monotonic()
             registry.drain(n)
-            times.append(max(one["at"] for one in lines(running)) - begun)
+            times.append(max(one["at"] for one in running.line()) - begun)
             gevent.sleep(1)
         row["change_p50_ms"] = round(percentile(times, 0.5) * 1000)
         row["change_p99_ms"] = round(percentile(times, 0.99) * 1000)
@@ -109,15 +87,14 @@
         status = held(process.port)
         row["turn"] = status["turn"]
         row["whole_states"] = {k: v for k, v in status["counts"].items() if k.startswith("whole")}
-        end(running)
+        running.end()
     print(json.dumps(row), flush=True)
 
     port = free_port()
     bare = Process("-m", "benchmarks.apply", "--bare", str(port), "260", port=port)
     with bare:
         before = bare.memory()
-        running = many(count, "benchmarks.apply", "--read-bare", str(port), "260", "{count}")
-        lines(running)
+        running = apply.Many(count, "--read-bare", str(port), "260", "{count}")
         trigger = gevent.socket.create_connection(("127.0.0.1", port), 10)
         trigger.sendall(b"t")
         gevent.sleep(1)
@@ -125,20 +102,19 @@
         for _ in range(CHANGES):
             begun = time.monotonic()
             trigger.sendall(b"g")
-            floor.append(max(one["at"] for one in lines(running)) - begun)
+            floor.append(max(one["at"] for one in running.line()) - begun)
             gevent.sleep(0.2)
         print(json.dumps({"bare": count, "bytes_a_connection": round((bare.memory() - before) / count),
                           "change_p50_ms": round(percentile(floor, 0.5) * 1000), "change_p99_ms":
                           round(percentile(floor, 0.99) * 1000), "cpu_s_a_change":
                           round((cpu(bare) - used) / CHANGES, 3), "ratio_p50":
                           round(percentile(times, 0.5) / percentile(floor, 0.5), 1)}), flush=True)  # fmt: skip
-        end(running)
+        running.end()
 
     port, size = free_port(), 3657  # a table of 120 lines, as benchmarks of deltas have it
     tables = Process("-m", "benchmarks.polls", "--tables", str(port), str(size), port=port)
     with tables:
-        running = many(count, "benchmarks.polls", "--poll-tables", str(port), "{first}", "{count}")
-        lines(running)
+        running = apply.Many(count, "--poll-tables", str(port), "{first}", "{count}", module="benchmarks.polls")
         gevent.sleep(6)
         used, begun, first = cpu(tables), time.monotonic(), sum(one["done"] for one in latest(running))
         gevent.sleep(10)
@@ -147,13 +123,13 @@
         print(json.dumps({"full tables, polled each second by": count, "asked_a_second": round(done / seconds),
                           "cpu_share": round((cpu(tables) - used) / seconds, 2), "mbytes_a_second":
                           round(done * size / seconds / 1e6, 1)}), flush=True)  # fmt: skip
-        end(running)
+        running.end()
 
 
 def latest(running):
     """The newest line of each, whatever has gathered."""
     found = []
-    for process in running:
+    for process in running.running:
         now = time.monotonic()
         while (one := json.loads(process.stdout.readline()))["at"] < now:
             pass
--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -171,8 +171,7 @@
             self.files.registry(rows, whole)
             return version
         listing = self.live.roster.read(self.live.clock.now(), rows, whole)
-        while not self.live.put("listed", listing, whole, True):
-            gevent.sleep(0.05)  # never dropped: the registry waits, and adds up what comes meanwhile
+        self.live.insist("listed", listing, whole, True)  # the registry waits, and adds up what comes meanwhile
         return version
 
     # the protocol
--- a/ironfall/director/turns.py
+++ b/ironfall/director/turns.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol, TextIO
 
+import gevent
 from gevent.event import Event
 from hdrh.histogram import HdrHistogram
 
@@ -146,6 +147,11 @@
         self.stir.set()
         return True
 
+    def insist(self, what: str, *about: Any) -> None:
+        """An event that may not be lost: waits, on the caller's greenlet, until the queue has room."""
+        while not self.put(what, *about):
+            gevent.sleep(0.05)
+
     def later(self, at: int, token: int) -> None:
         self.timed += 1
         heapq.heappush(self.timers, (at, self.timed, token))
--- a/ironfall/durable/journal.py
+++ b/ironfall/durable/journal.py
@@ -78,14 +78,12 @@
     def snapshot(self, payload: bytes) -> None:
         """In place of all records so far. Raises `OSError`, and then snapshot and records are as they were."""
         following = self.generation + 1
-        fresh = f"{following}.writing"
         try:
-            self.disk.remove(fresh)
-            self.disk.append(fresh, seal(payload))
-            self.disk.sync(fresh)
-            # A journal of that number can only be left over from before a snapshot that was garbled since.
+            # What has that number already is left over from a snapshot that was garbled since. Were it there still, a
+            # snapshot that failed below would look as if it had come to be.
             self.disk.remove(f"{following}.journal")
-            self.disk.rename(fresh, f"{following}.snapshot")
+            self.disk.remove(f"{following}.snapshot")
+            put_whole(self.disk, f"{following}.writing", f"{following}.snapshot", payload)
         except OSError:
             if f"{following}.snapshot" not in self.disk.names():
                 raise
@@ -101,6 +99,14 @@
                     pass  # it will be tried again with the next snapshot
 
 
+def put_whole(disk: Disk, fresh: str, name: str, payload: bytes) -> None:
+    """One record as a file of its own, written as `fresh` and renamed: whole or as it was before."""
+    disk.remove(fresh)
+    disk.append(fresh, seal(payload))
+    disk.sync(fresh)
+    disk.rename(fresh, name)
+
+
 def _is(name: str, *kinds: str) -> bool:
     number, _, kind = name.partition(".")
     return number.isdigit() and kind in kinds
--- a/ironfall/files/checks.py
+++ b/ironfall/files/checks.py
@@ -30,14 +30,14 @@
     notes: list[str] = field(default_factory=list)
 
 
-def _weights(merge: Merge, now: float) -> dict[str, tuple[str, float, bool]]:
-    """Zone, weight and whether warm or not, of each host that is ready."""
+def _weights(merge: Merge, now: float) -> dict[str, tuple[str, float, float]]:
+    """Zone, weight and age in ms, of each host that is ready."""
     found = {}
     for row in merge.merged(now):
         if row["state"] == "ready":
             weight = float(row.get("weight", 1.0))
             found[f"{row['name']}@{row['address']}"] = (row["zone"], weight, float(row.get("age_ms", 1e12)))
-    return {key: (zone, weight, age) for key, (zone, weight, age) in found.items()}  # type: ignore[misc]
+    return found
 
 
 def check(before: Merge, after: Merge, now: float, service: str, zones: tuple[str, ...],
@@ -51,7 +51,7 @@
     was, will = _weights(before, now), _weights(after, now)
     if any(zone not in zones for zone, _, _ in will.values()):
         return judged
-    warm = {key for key, (_, _, age) in will.items() if float(age) * 10 >= cold_time}
+    warm = {key for key, (_, _, age) in will.items() if age * 10 >= cold_time}
     known = bool(before.rows) or not first
     if will and not warm and known:
         judged.problems.append("no class would have a ready host that is warm")
--- a/ironfall/files/service.py
+++ b/ironfall/files/service.py
@@ -111,7 +111,7 @@
         live, now = self.live, self.now()
         listing = live.roster.read(live.clock.now(), merge.merged(now), True)
         self.merge = merge
-        self._put("listed", listing, True, fresh)
+        live.insist("listed", listing, True, fresh)
         held, kept = {}, {}
         for entry in live.roster.entries.values():
             name = entry.host.partition("@")[0]
@@ -122,19 +122,15 @@
                 kept[entry.id] = sum(1 << live.terms.kind(kind) for kind in classes)
         # All that are held, each time: a host that was gone and came again has forgotten.
         for host, bounds in held.items():
-            self._put("held_between", host, *bounds)
+            live.insist("held_between", host, *bounds)
         for host in self.held.keys() - held.keys():
-            self._put("held_between", host, *FREE)
+            live.insist("held_between", host, *FREE)
         for host, kinds in kept.items():
-            self._put("kept_from", host, kinds)
+            live.insist("kept_from", host, kinds)
         for host in self.kept.keys() - kept.keys():
-            self._put("kept_from", host, 0)
+            live.insist("kept_from", host, 0)
         self.held, self.kept = held, kept
 
-    def _put(self, *event: Any) -> None:
-        while not self.live.put(*event):
-            gevent.sleep(0.05)  # never dropped: the queue empties at the next turn
-
     def _expire(self) -> None:
         """Hands the list on anew when a pin has ended."""
         before = self.now()
@@ -292,11 +288,15 @@
             "took": self.took,
         }  # fmt: skip
 
+    @property
+    def adoptions(self) -> list[Adoption]:
+        if self.store is not None:
+            return self.store.adoptions
+        return [self.adoption] if self.adoption else []
+
     def history(self) -> list[dict[str, Any]]:
-        found = self.store.adoptions if self.store is not None else [self.adoption] if self.adoption else []
         return [{"number": a.number, "at": a.at, "by": a.by, "digest": a.digest, "summary": a.summary,
-                 "effect": a.effect} for a in found]  # fmt: skip
+                 "effect": a.effect} for a in self.adoptions]  # fmt: skip
 
     def texts(self, number: int) -> dict[str, str] | None:
-        found = self.store.adoptions if self.store is not None else [self.adoption] if self.adoption else []
-        return next((a.texts for a in found if a.number == number), None)
+        return next((a.texts for a in self.adoptions if a.number == number), None)
--- a/ironfall/files/store.py
+++ b/ironfall/files/store.py
@@ -91,10 +91,6 @@
                 if one.number == record["number"]:
                     one.effect = record["effect"]
 
-    @property
-    def next_number(self) -> int:
-        return self.adoptions[-1].number + 1 if self.adoptions else 1
-
     def adopted(self, adoption: Adoption) -> None:
         """Raises `OSError` where it could not be made durable; it counts here, and is written before the next."""
         self.adoptions.append(adoption)
--- a/ironfall/lab/model.py
+++ b/ironfall/lab/model.py
@@ -84,9 +84,6 @@
     def confirm(self, session: Session, version: int) -> None:
         _SESSIONS.confirm(session, version)
 
-    def knows(self, world: World, number: int, epoch: int) -> bool:
-        return epoch == world.epoch and number in world.sessions
-
     def apply(self, holding: Holding, delta: Delta) -> Outcome:
         return holding.apply(delta)
 
@@ -235,8 +232,6 @@
                 published.set_line(TABLE, host, weight)  # type: ignore[arg-type]
         else:
             published.withdraw(about[0], about[1])  # type: ignore[arg-type]
-        if not published.fresh and not published.bound:
-            published.fresh[("line", TABLE, "")] = 0
         published.close()
         self._note(world)
 
@@ -285,7 +280,7 @@
         proxy = world.proxies[n]
         assert proxy.poll is not None
         number, epoch, version, whole = proxy.poll
-        if not self.rules.knows(world, number, epoch):
+        if epoch != world.epoch or number not in world.sessions:
             proxy.poll, proxy.joined = None, -1  # told to join again
             return
         session = world.sessions[number]
--- a/ironfall/metrics/collectd.py
+++ b/ironfall/metrics/collectd.py
@@ -13,12 +13,13 @@
 import hmac
 import math
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from cryptography.hazmat.primitives.ciphers import Cipher, algorithms
 
 from ironfall.metrics.point import Malformed
+from ironfall.metrics.types import Types
 
 try:  # where the library has moved it as one not to be used for new protocols: this one is old
     from cryptography.hazmat.decrepit.ciphers.modes import OFB
@@ -60,6 +61,13 @@
         return f"{host}.{plugin}.{kind}{source}"
 
 
+def values_of(one: ValueList, types: Types) -> Iterator[tuple[str, float, float, str]]:
+    """Each value of a list: its series, the value, when it was measured, and its kind by name."""
+    names = types.names(one.type, len(one.values))
+    for n, (kind, value) in enumerate(one.values):
+        yield one.series(n, names), value, one.at, KINDS[kind]
+
+
 def decode(packet: bytes, secret: Callable[[str], str | None] | None = None, must: str = "") -> list[ValueList]:
     """The value lists of a packet. `secret` gives a user's password; `must` is "signed" or "encrypted" where less is
     refused. Raises `Malformed`; no part of a packet that is wrong anywhere is taken."""
--- a/ironfall/metrics/links.py
+++ b/ironfall/metrics/links.py
@@ -133,9 +133,8 @@
             self._count("collectd packets malformed")
             return
         for one in lists:
-            names = self.types.names(one.type, len(one.values))
-            for n, (kind, value) in enumerate(one.values):
-                self.take(one.series(n, names), value, one.at, collectd.KINDS[kind])
+            for reading in collectd.values_of(one, self.types):
+                self.take(*reading)
 
 
 class Sender:
--- a/ironfall/metrics/service.py
+++ b/ironfall/metrics/service.py
@@ -104,9 +104,8 @@
             self.counts["posts over the rate"] = self.counts.get("posts over the rate", 0) + 1
             return -1
         for one in lists:
-            names = Types.own().names(one.type, len(one.values))
-            for n, (kind, value) in enumerate(one.values):
-                self.take(one.series(n, names), value, one.at, collectd.KINDS[kind])
+            for reading in collectd.values_of(one, Types.own()):
+                self.take(*reading)
         return len(lists)
 
     def _hand(self) -> None:
--- a/ironfall/proxy/keep.py
+++ b/ironfall/proxy/keep.py
@@ -7,7 +7,8 @@
 import json
 
 from ironfall.durable.disk import Disk
-from ironfall.durable.records import seal, unseal
+from ironfall.durable.journal import put_whole
+from ironfall.durable.records import unseal
 from ironfall.publication.holding import Holding, Kept
 
 NAME, FRESH = "held", "held.writing"
@@ -36,10 +37,7 @@
 
 def save(disk: Disk, holding: Holding) -> None:
     """Blocking. Raises `OSError`, and then what was kept before is still there."""
-    disk.remove(FRESH)
-    disk.append(FRESH, seal(pack(holding.as_kept())))
-    disk.sync(FRESH)
-    disk.rename(FRESH, NAME)
+    put_whole(disk, FRESH, NAME, pack(holding.as_kept()))
 
 
 def load(disk: Disk, classes: int) -> tuple[list[Kept] | None, str]:
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -96,6 +96,19 @@
     assert found.snapshot == b"up to 4" and found.faults and state_of(found) == 8
 
 
+def test_a_snapshot_that_fails_over_a_garbled_one_is_no_snapshot():
+    # Found by rereading: the garbled one's name was taken for proof that the new one had come to be.
+    disk = Disk()
+    work(disk, {})
+    disk.files["2.snapshot"] = b"\0" * 40
+    journal = Journal(disk)
+    journal.open()
+    disk.full_from = disk.done + 1
+    with pytest.raises(OSError):
+        journal.snapshot(b"up to 8")
+    assert state_of(Journal(disk).open()) == 8
+
+
 def test_a_ring_gives_back_in_order_counts_what_it_drops_and_finds_itself_again(tmp_path):
     folder = Folder(tmp_path)
     ring = Ring(folder, 4000)
