Step the director's loop by hand and hand its clock in, for tests without sockets

The loop's body and the clock could only be met through greenlets and sockets: whatever needs an exact order of events in a turn, or minutes of time, could not be provoked.

--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 from typing import Any, TextIO
 
 import gevent
@@ -37,7 +38,8 @@
     """A running director. `start()` returns once it listens; `wait()` until it was told to stop."""
 
     def __init__(self, terms: Terms, log: Any, name: str = "director", zone: str = "", seed: int | None = None,
-                 decide: Decide = Director, record: TextIO | None = None) -> None:  # fmt: skip
+                 decide: Decide = Director, record: TextIO | None = None,
+                 monotonic: Callable[[], float] = time.monotonic) -> None:  # fmt: skip
         self.terms, self.log, self.name = terms, log, name
         self.zone = zone or terms.zones[0]
         seed = secrets.randbits(63) if seed is None else seed
@@ -45,7 +47,7 @@
         self.chance = random.Random(seed + 1)  # of jitter alone: the module's is its own
         # Ordered over starts, as long as the machine's clock is not set back by hand.
         epoch = time.time_ns() // 1000
-        self.live = Live(terms, seed, Clock(time.monotonic), epoch, decide, log, record)
+        self.live = Live(terms, seed, Clock(monotonic), epoch, decide, log, record)
         self.live.world = self
         limits = terms.limits
         bounds = Bounds(limits.held, limits.body, limits.header_time / SECOND, limits.idle / SECOND,
--- a/ironfall/director/turns.py
+++ b/ironfall/director/turns.py
@@ -176,7 +176,14 @@
     # the loop
 
     def run(self) -> None:
-        self.at = self.clock.now()
+        self.begin()
+        while not self.stopping:
+            wait = self.step()
+            self.stir.clear()
+            self.stir.wait(wait)
+
+    def begin(self) -> None:
+        self.at = self.last_turn = self.checked = self.clock.now()
         self.decisions = self.decide(self.given, self.terms.service, random.Random(self.seed), self.at)
         if self.record:
             first = {"seed": self.seed, "now": self.at, "orders": self.given.orders}
@@ -184,32 +191,32 @@
         self._close(self.at)
         if not self.terms.service.ask_for_list:
             self.world.watch()
-        last_turn, checked = self.at, self.at
-        while not self.stopping:
-            stalls = self.clock.stalls
-            now = self.clock.now()
-            if self.clock.stalls != stalls:
-                self.log.warning("stood still", stalls=self.clock.stalls, seconds=round(self.clock.stalled, 1))
-            if now - checked >= SECOND // 5:
-                checked = now
-                for session in self.sessions.lapsed(now):
-                    self.leave(session, "no poll within the time allowed")
-            due = bool(self.events) or bool(self.timers and self.timers[0][0] <= now) or now >= self.intake.next
-            due = due or (bool(self.intake.ready) and now - last_turn >= SECOND // 20)
-            if due and now - last_turn >= GAP:
-                self.turn(now)
-                last_turn = now
-            self._resync(now)
-            self._release(now)
-            wait = BEAT
-            if self.events:
-                wait = min(wait, (last_turn + GAP - now) / SECOND)
-            if self.timers:
-                wait = min(wait, (self.timers[0][0] - now) / SECOND)
-            if (leaves := self.channel.due()) is not None:
-                wait = min(wait, (leaves - now) / SECOND)
-            self.stir.clear()
-            self.stir.wait(max(0.0005, wait))
+
+    def step(self) -> float:
+        """What is due now; the seconds until something may be due again."""
+        stalls = self.clock.stalls
+        now = self.clock.now()
+        if self.clock.stalls != stalls:
+            self.log.warning("stood still", stalls=self.clock.stalls, seconds=round(self.clock.stalled, 1))
+        if now - self.checked >= SECOND // 5:
+            self.checked = now
+            for session in self.sessions.lapsed(now):
+                self.leave(session, "no poll within the time allowed")
+        due = bool(self.events) or bool(self.timers and self.timers[0][0] <= now) or now >= self.intake.next
+        due = due or (bool(self.intake.ready) and now - self.last_turn >= SECOND // 20)
+        if due and now - self.last_turn >= GAP:
+            self.turn(now)
+            self.last_turn = now
+        self._resync(now)
+        self._release(now)
+        wait = BEAT
+        if self.events:
+            wait = min(wait, (self.last_turn + GAP - now) / SECOND)
+        if self.timers:
+            wait = min(wait, (self.timers[0][0] - now) / SECOND)
+        if (leaves := self.channel.due()) is not None:
+            wait = min(wait, (leaves - now) / SECOND)
+        return max(0.0005, wait)
 
     def stop(self) -> None:
         self.stopping = True
--- /dev/null
+++ b/tests/test_hardening.py
@@ -0,0 +1,353 @@
+"""Peers that behave badly within the protocol, events that come late or twice, hosts that come and go: the real
+director, stepped without sockets (tests/stepped.py). Each test is of a fault that was there."""
+
+import heapq
+import random
+from dataclasses import replace
+
+import pytest
+
+from ironfall.director.intake import Intake, Met
+from ironfall.director.roster import Roster
+from ironfall.interface import Listing
+from ironfall.logic import Director
+from ironfall.proxy.picking import Picking
+from ironfall.publication import Holding
+from ironfall.terms import ProxyTerms, Unreadable, read_terms
+from tests.play import BOOT, USUAL, Recorder, act, host
+from tests.rig import TERMS
+from tests.stepped import Stepped, name, row
+
+
+def most_within(times, span):
+    return max((sum(t <= x < t + span for x in times) for t in times), default=0)
+
+
+# hosts that come and go
+
+
+def test_hosts_that_were_replaced_are_forgotten_and_joiners_go_on_being_bound():
+    # Every host ever withdrawn was counted as a line of each binding: after enough replacements none fitted.
+    stepped = Stepped(hosts=6, service={"queue_limit": 200.0})
+    stepped.peer("old", standing=[name(0)])
+    for generation in range(1, 31):
+        stepped.list([row(6 * generation + n) for n in range(6)])
+        stepped.run(15, 0.25)
+    stepped.run(70, 0.25)
+    live, joiner = stepped.live, stepped.peer("late", standing=[name(180)])
+    stepped.run(stepped.terms.service.bare_time / 10_000)
+    assert len(joiner.holding.binds) == 3, "never bound"
+    assert len(live.decisions.hosts) == len(live.roster.ids) == len(live.roster.hosts) == 6
+    assert not live.publication.outs and all(len(t) <= 6 for t in live.publication.tables.values())
+    assert stepped.peers["old"].holding.lines(0).keys() == {name(180 + n) for n in range(6)}
+    assert len(stepped.forgotten) == 180
+
+
+def test_a_host_that_comes_back_before_it_is_forgotten_keeps_its_name():
+    stepped = Stepped(hosts=6)
+    stepped.peer()
+    first = dict(stepped.live.roster.ids)
+    stepped.list([row(n) for n in range(5)])
+    stepped.run(40, 0.25)
+    stepped.list([row(n) for n in range(6)])
+    stepped.run(40, 0.25)
+    assert stepped.live.roster.ids == first and not stepped.live.publication.outs
+    assert name(5) in stepped.peers["p1"].holding.lines(0)
+
+
+def test_a_forgotten_name_is_never_anothers_id_while_that_is_used():
+    roster, zones = Roster(("x",), 100_000), {"zone": "x"}
+    one, two, three = ({**row(0), **zones, "name": n} for n in ("a", "b", "c"))
+    roster.read(0, [one], True)
+    (second,) = roster.read(0, [two], True)
+    roster.forget(roster.ids["a@" + one["address"]])
+    (third,) = roster.read(0, [two, three], True)[1:]
+    assert third.host != second.host
+    roster.forget(second.host)
+    assert roster.ids["b@" + two["address"]] == second.host  # still listed
+
+
+def test_a_proxy_keeps_no_record_of_hosts_that_no_table_names():
+    holding = Holding(1, {"a": 1, "b": 1})
+    picking = Picking(holding, ProxyTerms(shun_after=2, shun_time=10), random.Random(1))
+    for n in range(1000):
+        picking.ended(n, f"gone{n}", False)
+        picking.ended(n, f"shunned{n}", False)
+        picking.ended(n, f"shunned{n}", False)
+    picking.ended(1000, "a", False)
+    picking.changed()
+    assert picking.failed_in_row == {"a": 1} and len(picking.shunned) <= 11
+
+
+# proxies that come and go
+
+
+def test_a_proxy_that_joins_and_leaves_between_two_turns_is_gone():
+    # What left went to the decisions before what joined: such a proxy stayed with them for ever.
+    stepped = Stepped()
+    peer = stepped.peer("brief")
+    peer.leave()
+    stepped.run(1)
+    assert not stepped.live.decisions.proxies
+
+
+def test_a_name_that_joins_anew_at_a_full_queue_is_not_lost():
+    # Its earlier session's end took the last place, and the decisions never heard of the new one.
+    stepped = Stepped(limits={"events": 10})
+    peer = stepped.peer()
+    stepped.run(2)
+    while len(stepped.live.events) < 9:
+        stepped.live.put("list_failed")
+    assert peer.join() == 200
+    stepped.run(2)
+    assert len(peer.holding.binds) == 3
+
+
+def test_what_left_the_channel_for_a_proxy_that_is_gone_takes_up_no_room():
+    # Joining anew every half second, one name had ten seconds of bindings counted as waiting: nobody else was bound.
+    waits = {}
+    for loops in (False, True):
+        stepped = Stepped(hosts=30, service={"queue_limit": 400.0})
+        for n in range(4):
+            stepped.peer(f"calm{n}")
+        stepped.run(20)
+        if loops:
+            looping = stepped.peer("looping", rate=1e6)
+            del stepped.peers["looping"]  # it never polls
+        joined = 0
+        for n in range(40):
+            if loops:
+                looping.join()
+            stepped.run(0.6, 0.1)
+            if n == 20:
+                late, joined = stepped.peer("late", standing=[name(0)]), stepped.now
+            if n > 20 and loops not in waits and len(late.holding.binds) == 3:
+                waits[loops] = stepped.now - joined
+    assert waits[True] <= waits[False] + 10_000, waits
+
+
+def test_sessions_beyond_the_numbers_that_proxies_have_are_refused_at_start():
+    text = TERMS.read_text().replace("(listen", "(limits (sessions 70000))\n  (listen")
+    with pytest.raises(Unreadable, match="sessions are limited to 70000.*65535"):
+        read_terms("t", text)
+
+
+# whole states
+
+
+def ask_whole(stepped, name="greedy"):
+    peer = stepped.peers.pop(name)
+    return lambda: peer.poll(whole=1, version=max(0, peer.holding.version))
+
+
+@pytest.mark.parametrize("asking", [1, 8])
+def test_who_asks_for_whole_states_without_end_breaks_no_limit_and_holds_up_nobody(asking):
+    # They went into the channel beside the decisions' own count, and toward no proxy's most messages.
+    waits = []
+    for greedy in (0, asking):
+        stepped = Stepped(hosts=60, service={"queue_limit": 600.0, "proxies": 12})
+        for n in range(4):
+            stepped.peer(f"calm{n}", ("harbour", "hill", "plain")[n % 3])
+        for n in range(asking):
+            stepped.peer(f"greedy{n}")
+        stepped.run(15)
+        asks = [ask_whole(stepped, f"greedy{n}") for n in range(greedy)]
+        begun, took = stepped.now, []
+        for n in range(20):
+            rows = [row(k, "draining" if k in (n, n + 1) else "ready") for k in range(60)]
+            stepped.list(rows)
+            told = stepped.now
+            stepped.run(1.0, 0.02, lambda: [ask() for ask in asks])
+            took += [at - told for p in stepped.peers.values() if p.name.startswith("calm")
+                     for ordered, at, *_ in p.messages if 0 <= ordered - told < 1_000]  # fmt: skip
+        waits.append(max(took))
+        assert stepped.live.channel.most <= stepped.terms.service.queue_limit
+        for session in stepped.live.sessions.by_token.values():
+            times = [at for at, to in stepped.left if to == session.number and at >= begun]
+            assert most_within(times, stepped.terms.service.message_span) <= stepped.terms.service.message_limit
+    assert waits[1] <= waits[0] + 2_000, waits
+
+
+def test_a_whole_state_that_is_needed_comes_soon():
+    stepped = Stepped()
+    peer = stepped.peer()
+    stepped.run(5)
+    peer.holding.tables[0][name(0)] += 1  # it differs, and does not know
+    peer.holding.sum += 12345
+    stepped.list([row(n, "draining" if n == 3 else "ready") for n in range(6)])
+    stepped.run(1.5)
+    assert name(3) not in peer.holding.lines(0) and peer.holding.version == stepped.live.publication.version
+    assert peer.whole == 0 and peer.holding.tables[0] == stepped.live.publication.tables[0]
+
+
+# events late, twice, out of order
+
+
+def played(*steps, terms=USUAL):
+    """A director after `(seconds, words)`, ticking in between."""
+    seen = Recorder()
+    seen.now = BOOT
+    director = Director(seen, terms, random.Random(1), BOOT)
+    for at, words in steps:
+        seen._later(BOOT + round(at * 10_000), words.split())
+    end = BOOT + round(steps[-1][0] * 10_000)
+    while seen.due[0][0] <= end:
+        seen.now, _, words = heapq.heappop(seen.due)
+        act(director, seen.now, words)
+    return director, seen
+
+
+START = [(0, "list a:0 b:0 c:0 d:0"), (0.1, "join 1:0 2:0")]
+
+
+def test_a_late_word_of_an_earlier_start_does_not_drain_the_present_process():
+    director, seen = played(*START, (4, "change a:0~3.5"), (12, "change a:0~1!"), (13, "change a:0!"), (13.1, "failed"))
+    assert not director.hosts[host("a")].ready  # the last named no start: it is of the present one
+    director, _ = played(*START, (4, "change a:0~3.5"), (12, "change a:0~1!"), (12.1, "failed"))
+    assert director.hosts[host("a")].ready and not director.hosts[host("a")].out
+
+
+def test_a_late_ready_of_an_earlier_start_does_not_undo_a_drain_or_make_a_cold_host_warm():
+    director, _ = played(*START, (4, "change a:0~3.5"), (5, "change a:0~3.5!"), (6, "change a:0~1"), (7, "failed"))
+    assert not director.hosts[host("a")].ready and director.hosts[host("a")].out
+    director, _ = played(*START, (4, "change a:0~3.5"), (5, "change a:0~3.5!"), (6, "change a:0"), (6, "failed"))
+    assert director.hosts[host("a")].started == BOOT + 35_000  # cold still
+
+
+def test_an_incarnation_that_was_followed_by_another_is_over():
+    roster = Roster(("x",), 100_000)
+    told = [{**row(0), "zone": "x", "incarnation": i, "age_ms": a, "state": s}
+            for i, a, s in (("1", 1e9, "ready"), ("2", 100, "ready"), ("1", 1e9, "gone"), ("2", 400, "ready"))]  # fmt: skip
+    seen = [roster.read(200_000 + 1_000 * n, [one], True)[0] for n, one in enumerate(told)]
+    assert [s.ready for s in seen] == [True] * 4
+    assert seen[1].started == seen[2].started == seen[3].started > seen[0].started
+    (quiet,) = roster.read(300_000, [{**told[1], "incarnation": ""}], True)
+    assert quiet.started == seen[1].started  # a row that names no start invents none
+
+
+def test_a_restart_that_is_eased_in_place_is_not_judged_by_the_process_before():
+    full = replace(USUAL, queue_limit=26.0)
+    steps = [*START, *((n, f"heard 0 {h} 20 {18 if h == 'a' and n > 4 else 0} 300") for n in range(1, 6) for h in "abcd")]
+    director, _ = played(*steps, (5.2, "change a:0~5.1"), (5.3, "failed"), terms=full)
+    it = director.hosts[host("a")]
+    assert not it.out and it.ready, "the channel was to be too full to withdraw it"
+    assert not it.answered and not it.flow and not any(m.mass for m in it.failing) and not it.held
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_events_of_one_host_in_any_order_and_twice_end_where_the_newest_start_stands(seed):
+    chance = random.Random(seed)
+    words = ["change a:0~3!", "change a:0~3", "change a:0~8", "probe a ok 3", "heard 0 a 9 9 0", "heard 0 a 9 0 300"]
+    steps = [(10 + n / 10, word) for n, word in enumerate(chance.sample(words * 2, 12))]
+    director, seen = played(*START, (9.9, "change a:0~9"), *steps, (12, "change a:0~9!"), (12.5, "change a:0~8"),
+                            (13, "probe a ok 0"), (30, "failed"))  # fmt: skip
+    it = director.hosts[host("a")]
+    assert it.out and not it.ready and it.started == BOOT + 90_000
+    assert not [w for at, what, w in seen.given if what == "return" and w == ("a",) and at > BOOT + 120_000]
+
+
+# acknowledgements
+
+
+def test_marks_a_whole_turn_of_numbers_apart_are_told_apart():
+    # A mark was the time, cut to 16 bits: two of 6.5536 s apart were one, and the older freed the room of both.
+    seen, now = Recorder(), BOOT
+    seen.mark = lambda version: marks.append(version)
+    marks = []
+    director = Director(seen, USUAL, random.Random(1), now)
+    director.listed(now, [Listing(host(h), 0, True, 1.0, 0) for h in "abcd"], True, True)
+    for proxy in (1, 2):
+        director.joined(now, proxy, 0, 10.0)
+    director._withdraw(now, director.hosts[host("a")])
+    director._withdraw(now + 65_536, director.hosts[host("b")])
+    before = director._room(now + 65_536, 1.0)
+    director.applied(now + 65_536, marks[-2])
+    freed = director._room(now + 65_536, 1.0) - before
+    assert marks[-1] != marks[-2] and freed <= 2 * (2 + USUAL.message_head)
+
+
+def test_what_is_never_acknowledged_is_not_kept_for_ever():
+    seen = Recorder()
+    seen.mark = lambda version: None
+    director = Director(seen, USUAL, random.Random(1), BOOT)
+    director.listed(BOOT, [Listing(host(h), 0, True, 1.0, 0) for h in "abcd"], True, True)
+    director.joined(BOOT, 1, 0, 10.0)
+    for n in range(1, 2000):
+        director._withdraw(BOOT + n * 5_000, director.hosts[host("abcd"[n % 4])])
+        director._room(BOOT + n * 5_000, 0.5)
+    assert len(director.pushes) <= 21
+
+
+# one proxy's word
+
+
+HOST = bytes(6)
+
+
+def handed(*reports):
+    """One period's line of a host: each report is (proxy, tries, failed, milliseconds, gauges)."""
+    intake = Intake(0, 10_000, 1_000.0)
+    for proxy, tries, failed, took, gauges in reports:
+        intake.add_met(5_000, 10_000, proxy, 0, HOST, tries, failed, (tries - failed) * took * 10.0, gauges)
+    (line,) = [it for *_, it in intake.hand(10_000) if isinstance(it, Met)]
+    return line
+
+
+HONEST = [(n, 10 + n, 1, 200 + 10 * n, {"rif": 4.0 + n}) for n in range(5)]
+
+
+def test_an_honest_period_is_handed_on_as_it_was_met():
+    line = handed(*HONEST)
+    assert (line.tries, line.failed) == (60, 5)
+    assert 210 < line.good_time / 10 / 55 < 230 and line.gauges == {"rif": 6.0}
+    assert handed(HONEST[0]).tries == 10 and handed(HONEST[0]).gauges == {"rif": 4.0}  # alone, its word stands
+
+
+@pytest.mark.parametrize("lie", [(9, 10_000_000, 10_000_000, 0, {}), (9, 500, 500, 0, {"rif": 1e8})])
+def test_one_proxy_that_says_all_fails_does_not_outweigh_the_others(lie):
+    line = handed(*HONEST, lie)
+    assert line.tries <= 120 and line.failed / line.tries < 0.3 and line.gauges["rif"] <= 8.0
+
+
+@pytest.mark.parametrize("lie", [(9, 10_000_000, 0, 1, {"rif": 0.0}), (9, 1_000, 0, 60_000, {})])
+def test_one_proxy_that_says_all_is_well_does_not_hide_a_failing_host(lie):
+    line = handed(*((p, tries, tries - 1, 300, {"rif": 50.0}) for p, tries, *_ in HONEST), lie)
+    assert line.tries <= 120 and line.failed / line.tries > 0.7 and line.gauges["rif"] == 50.0
+    assert line.good_time <= 3_000.0 * 1.01 * (line.tries - line.failed)
+
+
+def came(*reports):
+    intake = Intake(0, 10_000, 1_000.0)
+    for proxy, much, lost in reports:
+        intake.add_came(proxy, 0, much, lost)
+    return {proxy: it for what, proxy, _, it in intake.hand(10_000) if what == "came"}
+
+
+def test_one_proxy_does_not_outweigh_the_others_in_what_a_class_is_brought_and_loses():
+    lines = came((1, 40, 0), (2, 60, 3), (3, 50, 1), (9, 10_000_000, 10_000_000))
+    assert lines[9].came == 150 and lines[9].lost <= 8
+    assert [(lines[n].came, lines[n].lost) for n in (1, 2, 3)] == [(40, 0), (60, 3), (50, 1)]
+    assert came((1, 40, 39))[1].lost == 39  # alone, its word stands
+
+
+def test_a_poisoner_neither_has_hosts_withdrawn_nor_keeps_failing_ones_in():
+    def orders(poison):
+        stepped = Stepped(hosts=6, service={"proxies": 6})
+        for n in range(6):
+            stepped.peer(f"p{n}", standing=[name(0)])
+        stepped.run(3)
+        for second in range(25):
+            for n, peer in enumerate(stepped.peers.values()):
+                bad = n == 0 and poison
+                met = [(name(h), *((10**7, 10**7, 0) if bad and h != 5 else (10**7, 0, 1) if bad else
+                                   (10, 10 if h == 5 and second > 5 else 0, 200))) for h in range(6)]  # fmt: skip
+                assert peer.sums(met, [(0, 10**7, 10**7)] if bad else [(0, 60, 3)]) == 204
+            stepped.run(1, 0.1)
+        return stepped.live.counts, stepped
+
+    for poison in (False, True):
+        counts, stepped = orders(poison)
+        assert counts.get("withdrawals: failing", 0) >= 1, (poison, counts)
+        assert set(stepped.live.publication.outs) <= {name(5)}, poison
+        assert len(stepped.peers["p3"].holding.lines(0)) >= 5
+        assert stepped.live.publication.admits.get(0, (1_000_000, 0))[0] == 1_000_000
