Put joins and leaves to the decisions as they came, and none lost at a full queue

Seen: a proxy that joined and left between two turns stayed with the decisions for ever (`proxies` held 1 of 0), cost lines, and skewed what they take other directors' proxies to send. A name that joined anew with one place left in the events was never bound: its earlier session's end took the place, and `put("joined")` was refused after the check in `_join` had passed. Ruled out: numbers used again (they come back after 65,534 others), replay (turns are recorded in the order in which they were put). At fault: turns.py, KINDS, where "left" stood before "joined", and `put`, which never lost "left" alone. Change: both have one rank, so a stable sort keeps their order; neither is refused. They stay bounded by `_join`'s own check.

--- a/ironfall/director/turns.py
+++ b/ironfall/director/turns.py
@@ -31,8 +31,9 @@
 BEAT = 0.1  # seconds; the loop reads the clock at least that often, and so sees its own standstill
 EVERYONE = 65535
 # Events of one turn go to the module in this order; those of a kind in the order in which they came.
-KINDS = ("listed", "held_between", "kept_from", "list_failed", "left", "joined", "applied", "probed", "gauged")
+KINDS = ("listed", "held_between", "kept_from", "list_failed", "joined", "applied", "probed", "gauged")
 RANK = {kind: rank for rank, kind in enumerate(KINDS)}
+RANK["left"] = RANK["joined"]  # as they came: who joined and left between two turns has left
 
 Decide = Callable[[Orders, ServiceTerms, random.Random, int], Any]
 
@@ -139,8 +140,11 @@
     # what other greenlets do
 
     def put(self, what: str, *about: Any) -> bool:
-        """An event for the next turn. False when the queue is full: the sender is held back."""
-        if len(self.events) >= self.terms.limits.events and what != "left":
+        """An event for the next turn. False when the queue is full: the sender is held back.
+
+        Sessions begin and end whatever waits: a join is refused before it is begun.
+        """
+        if len(self.events) >= self.terms.limits.events and what not in ("left", "joined"):
             self.count("events refused")
             return False
         self.events.append((self.clock.now(), what, about))
