Free the channel's room of what left it for proxies that are gone

Seen: one name that joins anew every 0.6 s and never polls keeps another joiner unbound for 9.6 s, where a bare time of 6 s is allowed; without it 0.6 s. Its bindings left the channel within milliseconds but nobody acknowledged them, so the decisions held them as waiting for ten seconds each. Ruled out: the channel itself (backlog under 60 of 400 lines all the time), the order of binding (the late joiner was not passed over, nobody was bound). At fault: turns.py, `_release`, which dropped messages without a session, and `leave`, which dropped those released and not confirmed. Change: both are told to the decisions as applied; the histogram of order to applied leaves them out.

--- a/ironfall/director/turns.py
+++ b/ironfall/director/turns.py
@@ -162,6 +162,9 @@
 
     def leave(self, session: Session, why: str) -> None:
         self.sessions.close(session)
+        # What left the channel for it will not be acknowledged any more, and takes up no room all the same.
+        for message in session.carried:
+            self._gone(message)
         self.publication.leave(session.number)
         self.channel.forget(session.number)
         self.intake.forget(session.number)
@@ -250,10 +253,16 @@
         self._close(now, calls)
         self.lengths.record_value(max(1, int((self.clock.monotonic() - begun) * 1e6)))
 
+    def _gone(self, message: Message) -> None:
+        if message.mark >= 0:
+            message.proxy = -1
+            self.put("applied", message)
+
     def _event(self, now: int, what: str, about: tuple[Any, ...], calls: list[list[Any]]) -> None:
         if what == "applied":
             message: Message = about[0]
-            self.applies.record_value(max(1, (now - message.ordered) * 100))
+            if message.proxy >= 0:
+                self.applies.record_value(max(1, (now - message.ordered) * 100))
             self._call(now, ["applied", message.mark], calls)
         else:
             self._call(now, [what, *about], calls)
@@ -287,6 +296,7 @@
         for message in self.channel.leave(now):
             session = self.sessions.by_number.get(message.proxy)
             if session is None:
+                self._gone(message)
                 continue
             session.released = max(session.released, message.version)
             if message.whole:
