Count marks in place of cutting the time to 16 bits, and drop pushes that no longer count

Seen: two pushes 6.5536 s apart bore one mark; the acknowledgement of the older one dropped the newer, and freed 8 lines that still waited. 2,000 withdrawals that nobody acknowledged left 1,999 pushes, gone through at each `_room`. At fault: logic.py, `_send` (`now % VERSIONS`), and `_room`, which passed over pushes older than ten seconds but kept them. Change: marks are counted, so one comes again after 65,536 pushes; `_room` drops what it passed over. Decisions are unchanged.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -22,7 +22,7 @@
 SMOOTH, STREAM = 30 * SECOND, 8 * SECOND  # the design's smoothing of latency; that of what comes and goes
 CLASS_FLOOR, FLOOR = 0.08, 0.25  # no class is shut out whole: the worst-served one counts too
 THIN = 0.03  # an away line's part of its strength where the solve begins
-EVERYONE, VERSIONS = 65535, 65536  # the table for all joined proxies; marks are times, under this
+EVERYONE, MARKS = 65535, 65536  # the table for all joined proxies; marks are counted, under this
 
 Gauge = dict[str, float]
 
@@ -120,6 +120,7 @@
         self.queue, self.head = terms.queue_limit, terms.message_head + 1
         self.limit, self.span = terms.message_limit, terms.message_span
         self.pushes: list[Push] = []
+        self.marks = 0
         self.moments: list[int] = []  # when all or a zone's proxies were written to
         self.reached = Counter[int]()  # by zone, proxies that have a message at this moment
         self.crossing_price, self.strain = terms.crossing_price, 0.0
@@ -543,7 +544,8 @@
         if used_up or (self.draining and part < 0.95):
             return 0.0
         # What is not acknowledged for that long was lost with its stream.
-        return part * self.queue - sum(p.lines for p in self.pushes if now - p.at < 10 * SECOND)
+        self.pushes = [p for p in self.pushes if now - p.at < 10 * SECOND]
+        return part * self.queue - sum(p.lines for p in self.pushes)
 
     def _pay(self, now: int, zone: int = -1, users: int = 0) -> None:
         """Book one line for the users of a zone's table, or for all who joined."""
@@ -558,8 +560,10 @@
 
     def _send(self, now: int, lines: float, messages: int) -> None:
         if lines and (not self.pushes or self.pushes[-1].at != now):
-            self.pushes.append(Push(now % VERSIONS, now))
-            self.orders.mark(now % VERSIONS)
+            # Not the time, cut short: two moments 6.5536 s apart would free each other's room.
+            self.marks = (self.marks + 1) % MARKS
+            self.pushes.append(Push(self.marks, now))
+            self.orders.mark(self.marks)
         if lines:
             self.pushes[-1].lines += lines
             self.pushes[-1].messages += messages
