Let the decisions send whole states, booked like all else, once in the span of messages

Seen (60 hosts, 12 proxies, 20 s of drains, stepped): one proxy that asks for whole states without end was written 135 messages in ten seconds, 20 allowed, and brought the channel from 199 to 960 lines a second; eight of them 2,995 of a pace of 3,000. Ruled out: the others' wait broken by it (most 100 and 120 ms in place of 80), the queue's limit broken in this case (401 of 600): but nothing bounded it, as whole states went in up to 0.3 of the queue and a state, and the decisions knew nothing of them and went up to 0.95. At fault: turns.py, `_resync`, a decision with a value of its own in the live director. Change: `Director.strayed`: such a proxy is bound anew by `_bind`, with its lines, head and mark booked, while half of the queue is free, and once in the span that the terms count messages in. The live director marks that binding's message as a whole state. `_resync` and `Publication.cost` are gone. A second whole state to one proxy now waits for the span.

--- a/ironfall/director/turns.py
+++ b/ironfall/director/turns.py
@@ -31,9 +31,9 @@
 BEAT = 0.1  # seconds; the loop reads the clock at least that often, and so sees its own standstill
 EVERYONE = 65535
 # Events of one turn go to the module in this order; those of a kind in the order in which they came.
-KINDS = ("listed", "held_between", "kept_from", "list_failed", "joined", "applied", "probed", "gauged")
+KINDS = ("listed", "held_between", "kept_from", "list_failed", "joined", "strayed", "applied", "probed", "gauged")
 RANK = {kind: rank for rank, kind in enumerate(KINDS)}
-RANK["left"] = RANK["joined"]  # as they came: who joined and left between two turns has left
+RANK["left"] = RANK["strayed"] = RANK["joined"]  # as they came: who joined and left between two turns has left
 
 Decide = Callable[[Orders, ServiceTerms, random.Random, int], Any]
 
@@ -51,6 +51,7 @@
     def __init__(self, live: "Live") -> None:
         self.live = live
         self.mark_now = -1
+        self.bound: dict[int, int] = {}  # classes by proxy, as a mask
         self.orders: list[list[Any]] = []
         self.said: list[tuple[str, dict[str, Any]]] = []
 
@@ -62,6 +63,7 @@
 
     def bind(self, proxy: int, table: int, classes: int) -> None:
         self.live.publication.bind(proxy, table, classes)
+        self.bound[proxy] = self.bound.get(proxy, 0) | (classes or self.live.every)
         self.orders.append(["bind", proxy, table, classes])
         session = self.live.sessions.by_number.get(proxy)
         self.said.append(("bind", {"proxy": session.name if session else proxy, "table": table, "classes": classes}))
@@ -120,10 +122,10 @@
         self.intake = Intake(now, terms.service.report_every, terms.report_lines)
         self.roster = Roster(terms.zones, terms.service.cold_time)
         self.sessions = Sessions(limits.sessions, limits.lapse, limits.polls)
+        self.every = (1 << len(terms.classes)) - 1
         self.events: deque[tuple[int, str, tuple[Any, ...]]] = deque()
         self.timers: list[tuple[int, int, int]] = []
         self.timed = 0
-        self.resyncs: deque[Session] = deque()
         self.stir = Event()
         self.stopping = False
         self.counts: dict[str, int] = {}
@@ -172,13 +174,11 @@
         self.log.info("proxy left", proxy=session.name, number=session.number, why=why)
 
     def want_whole(self, session: Session, why: str) -> None:
-        """A whole state for a proxy that can't be told a delta; it goes through the channel like all else."""
-        if not session.resync:
+        """A whole state for a proxy that can't be told a delta: the decisions bind it anew, and count its lines."""
+        if not session.resync and self.put("strayed", session.number):
             session.resync = True
-            self.resyncs.append(session)
             self.count(f"whole states: {why}")
             self.log.info("whole state", proxy=session.name, cause=why)
-            self.stir.set()
 
     # the loop
 
@@ -214,7 +214,6 @@
         if due and now - self.last_turn >= GAP:
             self.turn(now)
             self.last_turn = now
-        self._resync(now)
         self._release(now)
         wait = BEAT
         if self.events:
@@ -277,20 +276,14 @@
         costs = self.publication.close()
         head = self.terms.service.message_head + (mark >= 0)
         for proxy, lines in costs.items():
-            self.channel.put(now, Message(proxy, self.publication.version, lines + head, now, mark, False))
+            session = self.sessions.by_number.get(proxy)
+            whole = session is not None and session.resync and self.given.bound.get(proxy) == self.every
+            self.channel.put(now, Message(proxy, self.publication.version, lines + head, now, mark, whole))
         for what, about in self.given.said:
             self.log.info(what, version=self.publication.version, **about)
         if self.record and calls is not None and (calls or orders):
             self.record.write(json.dumps({"now": now, "calls": calls, "orders": orders}, default=_plain) + "\n")
-        self.given.orders, self.given.said, self.given.mark_now = [], [], -1
-
-    def _resync(self, now: int) -> None:
-        # Only where the channel has room: what can't wait comes first.
-        while self.resyncs and self.channel.backlog < 0.3 * self.terms.service.queue_limit:
-            session = self.resyncs.popleft()
-            if self.sessions.by_number.get(session.number) is session:
-                lines = self.publication.cost(session.number) + self.terms.service.message_head
-                self.channel.put(now, Message(session.number, self.publication.version, lines, now, -1, True))
+        self.given.orders, self.given.said, self.given.mark_now, self.given.bound = [], [], -1, {}
 
     def _release(self, now: int) -> None:
         for message in self.channel.leave(now):
--- a/ironfall/lab/others.py
+++ b/ironfall/lab/others.py
@@ -45,6 +45,9 @@
         if token:
             self.orders.watch_list()
 
+    def strayed(self, now: int, proxy: int) -> None:
+        self.orders.bind(proxy, 0, 0)
+
     def left(self, proxy: int) -> None: ...
     def applied(self, now: int, version: int) -> None: ...
     def heard(self, now: int, *about: Any) -> None: ...
@@ -64,6 +67,8 @@
                 self.orders.withdraw(host, not ready)
             self.ready[host] = ready
 
+    def strayed(self, now: int, proxy: int) -> None: ...
+
     def joined(self, now: int, proxy: int, zone: int, rate: float) -> None:
         for host, ready in self.ready.items():
             if not ready:
--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -79,6 +79,8 @@
     joined: int
     rate: float
     tables: list[int]  # by class; -1 for what it came with
+    strayed: bool = False  # it can't go on from what it holds
+    resent: int = -LONGEST_WAIT  # when it was last sent all anew for that
 
 
 @dataclass(slots=True)
@@ -204,14 +206,27 @@
         if self.draining:
             self._drain(now)
 
+    def strayed(self, now: int, proxy: int) -> None:
+        """A proxy can't go on from what it holds, or says so: it is bound anew, with all there is."""
+        it = self.proxies.get(proxy)
+        if it:
+            it.strayed = True
+
     def _bind(self, now: int) -> None:
         """Bind as many as the channel holds beside what cannot wait, those with the most traffic first."""
         inside = self._inside()
         more = self.head + 2 + sum(h.out for h in self.hosts.values()) + len(self.grades)
         for number, it in sorted(self.proxies.items(), key=lambda pair: -pair[1].rate):
             wanted = [it.zone + self.zones * (1 + k) * (now < g.apart) for k, g in enumerate(self.grades)]
-            if wanted == it.tables or not (self.known or now - it.joined >= self.hold):
+            # Whoever strays without end takes neither the others' channel nor more messages than it may get.
+            anew = it.strayed and now - it.resent >= self.span
+            if (wanted == it.tables and not anew) or not (self.known or now - it.joined >= self.hold):
                 continue
+            if anew:
+                whole = sum(more + sum(h.lines[t] > 0 for h in inside) for t in set(wanted))
+                if self._room(now, 0.5) < whole:
+                    return
+                it.strayed, it.resent, it.tables = False, now, [-1] * len(wanted)
             for table in dict.fromkeys(wanted):
                 kinds = [k for k, t in enumerate(wanted) if t == table != it.tables[k]]
                 lines = sum(h.lines[table] > 0 for h in inside)
--- a/ironfall/publication/publisher.py
+++ b/ironfall/publication/publisher.py
@@ -157,12 +157,6 @@
 
     # what goes out
 
-    def cost(self, proxy: int) -> int:
-        """Lines of the whole state at one proxy."""
-        view = self.views[proxy]
-        tables = set(view.binds(self.version).values())
-        return 1 + sum(len(self.tables.get(t, ())) for t in tables) + len(self.outs) + len(self.admits)
-
     def reaches(self, start: int, to: int) -> bool:
         """Whether a delta between the two can be told: neither compacted away nor never published."""
         return self.base <= start <= to <= self.version
