Pass over late words of a process that another has followed, and judge a restart by itself

Seen: (a) after a restart, a late "draining" or "gone" of the process before withdrew the present one; (b) a late "ready" of it undid a drain of the present one, and set its start back, so a cold host counted as warm and got its whole weight; (c) the roster took the incarnation of before, told late, for one more restart; a row without an incarnation too; (d) a restarted host eased in place, as the channel was full, kept `failing`, `answered`, `flow` and its gauge: 0.44 of 40 tries failing, which sends the new process out. Four shuffles of one host's events, each twice, ended with the host in in place of out. Ruled out: the order of lists themselves (one watcher, one request at a time, answers replace); the adapter (times are the list's own). At fault: logic.py, `listed`, which asked only whether a start was newer, and reset but two of what a process leaves behind; roster.py, `_entry`. Change: an entry that names a start before the one held is passed over, one that names none lowers none; a restart forgets as a return does; the roster knows the incarnation that the present one followed. What it costs: a registry that goes back to an earlier incarnation on purpose is not followed.

--- a/ironfall/director/roster.py
+++ b/ironfall/director/roster.py
@@ -26,6 +26,7 @@
     weight: float
     incarnation: str
     started: int
+    before: str = ""  # the incarnation that this one followed
 
 
 class Roster:
@@ -71,15 +72,18 @@
         except (OSError, ValueError, struct.error):
             raise BadList(f"host {place} ({name}): {address!r} is no IPv4 address and port") from None
         host = f"{name}@{address}"
-        known = self.entries.get(host)
-        if known and known.incarnation == incarnation:
-            started = known.started  # worked out once: an age that arrives late would look like a new start
+        known, before = self.entries.get(host), ""
+        if known and incarnation and incarnation == known.before:
+            return known  # told late, of a process that another has followed
+        if known and incarnation in ("", known.incarnation):
+            # Worked out once: an age that arrives late would look like a new start.
+            started, incarnation, before = known.started, known.incarnation, known.before
         elif known:
-            started = max(now - round(age * 10), known.started + 1)
+            started, before = max(now - round(age * 10), known.started + 1), known.incarnation
         else:
             started = now - round(age * 10) if age * 10 < 2 * self.cold_time else 0
         place_in = self.zones.index(zone)
-        return Entry(host, self._id(host, packed), place_in, state == "ready", weight, incarnation, started)
+        return Entry(host, self._id(host, packed), place_in, state == "ready", weight, incarnation, started, before)
 
     def _id(self, host: str, packed: bytes) -> bytes:
         if host not in self.ids:
--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -150,14 +150,18 @@
         entries = list(entries)
         for host, zone, ready, weight, started in entries:
             it = self.hosts.get(host)
+            if it and 0 < started < it.started:
+                continue  # a late word of a process that another has followed
             if it is None and ready:
                 lines, kinds = [0.0] * self.zones * (1 + len(self.grades)), [0] * len(self.grades)
                 failing, share = [Mean() for _ in range(self.zones)], weight if weight > 0 else 1.0
                 self.hosts[host] = Host(host, zone, started, share, failing, kinds, lines)
             elif it and ready and (not it.ready or started > it.started):
                 # A restarted process is cold: out at once, or eased where it is if the channel is full.
-                it.ready, it.started, it.wait, it.retry_at, it.eased = True, started, FIRST_WAIT, now, now
-                it.latency.mass = it.recent.mass = 0.0
+                it.ready, it.started = True, max(started, it.started)
+                it.wait, it.retry_at, it.eased = FIRST_WAIT, now, now
+                it.latency.mass = it.recent.mass = it.flow = it.held = 0.0
+                self._forget(now, it)
                 if not it.out and self._room(now, 0.6) > (1 + self.head) * len(self.proxies):
                     self._withdraw(now, it)
             elif it:
