Forget hosts that are long gone, in the decisions, the roster, the publication and the proxy

Seen: after 30 replacements of a fleet of six (queue 200 lines), 186 records, ids and lines of a table, 180 withdrawals; a proxy that joined then was never bound, since `_bind` counts every host ever withdrawn and none fitted half of the queue. Whole states grew alike, the director kept a connection to each host ever probed, a proxy a row of failures for each host that ever failed it. Ruled out: the history (bounded by versions and entries), the intake (unknown hosts are not counted), the files' pins (handed on with each list). At fault: logic.py, nothing took a host out of `hosts`; roster.py, ids "for ever"; program.py, `links`; picking.py, `failed_in_row`, `shunned`. Change: `_let_go`: a host gone and withdrawn for the longest wait leaves the tables and the withdrawals as small moves do, once every proxy is bound: who is not may hold a table of before. Then `Orders.forget`, in the place of `Orders.note`, which nothing called. The roster keeps who left until then, so that who comes again has its id and start.

--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -103,6 +103,10 @@
     def watch(self) -> None:
         self.asked.set()
 
+    def forget(self, host: str) -> None:
+        if link := self.links.pop(host, None):
+            link.close()
+
     def probe(self, host: str) -> None:
         if host in self.probing or len(self.probing) >= PROBES_MOST:
             self.live.count("probes passed over")
--- a/ironfall/director/roster.py
+++ b/ironfall/director/roster.py
@@ -33,8 +33,10 @@
     def __init__(self, zones: tuple[str, ...], cold_time: int) -> None:
         self.zones, self.cold_time = zones, cold_time
         self.entries: dict[str, Entry] = {}
-        self.ids: dict[str, bytes] = {}  # for ever: what a host that left was called must not become another's
+        self.left: dict[str, Entry] = {}  # no longer listed, as last told: they may come again
+        self.ids: dict[str, bytes] = {}  # also of `left`: what a host was called must not become another's
         self.hosts: dict[bytes, str] = {}
+        self.spares = 0
 
     def read(self, now: int, rows: Any, whole: bool) -> list[Listing]:
         """What changed, for the module. Raises `BadList`, and then nothing of it was taken."""
@@ -49,8 +51,9 @@
         gone = [e for e in self.entries.values() if whole and e.host not in seen]
         for entry in found:
             self.entries[entry.host] = entry
+            self.left.pop(entry.host, None)
         for entry in gone:
-            del self.entries[entry.host]
+            self.left[entry.host] = self.entries.pop(entry.host)
         return [Listing(e.id, e.zone, e.ready, e.weight, e.started) for e in found]
 
     def _entry(self, now: int, place: int, row: Any) -> Entry:
@@ -72,7 +75,7 @@
         except (OSError, ValueError, struct.error):
             raise BadList(f"host {place} ({name}): {address!r} is no IPv4 address and port") from None
         host = f"{name}@{address}"
-        known, before = self.entries.get(host), ""
+        known, before = self.entries.get(host) or self.left.get(host), ""
         if known and incarnation and incarnation == known.before:
             return known  # told late, of a process that another has followed
         if known and incarnation in ("", known.incarnation):
@@ -88,7 +91,17 @@
     def _id(self, host: str, packed: bytes) -> bytes:
         if host not in self.ids:
             # The second host seen at an address can't be called by it: it gets one of 0.0.0.0/8, never an address.
-            spare = struct.pack(">IH", len(self.ids) >> 16, len(self.ids) & 0xFFFF)
-            free = packed if packed not in self.hosts else spare
-            self.ids[host], self.hosts[free] = free, host
+            while packed in self.hosts:
+                self.spares = (self.spares + 1) % (1 << 40)
+                packed = self.spares.to_bytes(6, "big")
+            self.ids[host], self.hosts[packed] = packed, host
         return self.ids[host]
+
+    def forget(self, host: bytes) -> str:
+        """The decisions hold nothing of it any more; returns its name, "" if it is listed again meanwhile."""
+        name = self.hosts[host]
+        if name in self.entries:
+            return ""
+        self.left.pop(name, None)
+        del self.hosts[host], self.ids[name]
+        return name
--- a/ironfall/director/turns.py
+++ b/ironfall/director/turns.py
@@ -43,6 +43,7 @@
 
     def watch(self) -> None: ...
     def probe(self, host: str) -> None: ...
+    def forget(self, host: str) -> None: ...
 
 
 class Given:
@@ -101,9 +102,10 @@
         self.orders.append(["wake", delay, token])
         self.live.later(self.live.at + delay, token)
 
-    def note(self, text: str) -> None:
-        self.orders.append(["note", text])
-        self.said.append(("note", {"text": text}))
+    def forget(self, host: bytes) -> None:
+        self.orders.append(["forget", host.hex()])
+        if name := self.live.roster.forget(host):
+            self.live.world.forget(name)
 
 
 class Live:
--- a/ironfall/drill/wire.py
+++ b/ironfall/drill/wire.py
@@ -127,8 +127,7 @@
     def wake(self, delay: int, token: int) -> None:
         self._add("dI", 21, delay / 10, token)
 
-    def note(self, text: str) -> None:
-        self.writer.text(23, self.instance, text)
+    def forget(self, host: bytes) -> None: ...
 
 
 class Bench:
--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -196,6 +196,24 @@
         self._pay(now)
         self.orders.withdraw(host.id, True)
 
+    def _let_go(self, now: int) -> None:
+        # Every host ever withdrawn would cost each binding a line, until none fits. Who is not bound may hold
+        # a table of before the withdrawal.
+        if any(min(p.tables) < 0 for p in self.proxies.values()):
+            return
+        used = Counter(table for p in self.proxies.values() for table in set(p.tables))
+        for host in [h for h in self.hosts.values() if not h.ready and h.out and now - h.told > LONGEST_WAIT]:
+            tables = [n for n, line in enumerate(host.lines) if line > 0]
+            if self._room(now, 0.45) < (1 + len(tables) + self.head) * len(self.proxies):
+                return
+            for table in tables:
+                self._pay(now, table % self.zones, used[table])
+                self.orders.set_line(table, host.id, 0.0)
+            self._pay(now)
+            self.orders.withdraw(host.id, False)
+            del self.hosts[host.id]
+            self.orders.forget(host.id)
+
     def joined(self, now: int, proxy: int, zone: int, rate: float) -> None:
         self.proxies[proxy] = Proxy(zone % self.zones, now, rate, [-1] * len(self.grades))
 
@@ -285,7 +303,7 @@
             it.gauge(now, {"q": max(it.held, it.flow * self.others * self.expected / SECOND)})
 
     def gauged(self, now: int, host: bytes, age: int, gauge: Gauge) -> None:
-        """A reading that others took some time ago. It is no answer of the host's: nothing comes back for it."""
+        """A reading that others took some time ago. It is no answer of its own: nothing comes back for it."""
         it = self.hosts.get(host)
         if it and now - age > it.gauged:
             # A host that takes all and answers nothing may well be called idle: what its proxies met stands.
@@ -311,7 +329,8 @@
                 it.barred[kind] = grade.apart = NEVER
             elif it.barred[kind] == NEVER:
                 it.barred[kind] = 0
-                grade.apart = NEVER if any(h.barred[kind] == NEVER for h in self.hosts.values()) else now + BAR
+                kept = any(h.barred[kind] == NEVER for h in self.hosts.values())
+                grade.apart = NEVER if kept else now + BAR
 
     def woken(self, now: int, token: int) -> None:
         if token:
@@ -340,6 +359,7 @@
             self._learn(now)
             self._ration(now)
             self._lay(now, False)
+            self._let_go(now)
 
     def _probe(self) -> None:
         ready = [h for h in self.hosts.values() if h.ready]
--- a/ironfall/proxy/picking.py
+++ b/ironfall/proxy/picking.py
@@ -21,6 +21,9 @@
 
     def changed(self) -> None:
         self.ready.clear()
+        # Hosts come and go: of one that no table names no row of failures is kept.
+        named = self.holding.named()
+        self.failed_in_row = {h: n for h, n in self.failed_in_row.items() if h in named}
 
     def pick(self, now: int, kind: int, passed: Set[str] = frozenset()) -> str | None:
         """A host by weight, not among those `passed` over; None where there is no line to pick.
@@ -55,6 +58,7 @@
             return
         row = self.failed_in_row[host] = self.failed_in_row.get(host, 0) + 1
         if row >= self.terms.shun_after:
+            self.shunned = {h: until for h, until in self.shunned.items() if until > now}
             self.shunned[host] = now + self.terms.shun_time
             del self.failed_in_row[host]
 
--- a/tests/play.py
+++ b/tests/play.py
@@ -110,8 +110,8 @@
     def wake(self, delay: int, token: int) -> None:
         self._later(self.now + delay, ["wake", str(token)])
 
-    def note(self, text: str) -> None:
-        pass
+    def forget(self, host: bytes) -> None:
+        self._order("forget", host)
 
 
 def act(director: Director, now: int, words: list[str]) -> None:
