Refuse terms with more sessions than proxies have numbers

Seen: with (limits (sessions 70000)) the 65,536th join never ends: `Sessions.open` looks for a free number among 65,535 used ones, and the director stands still for good. Ruled out: the module's own limit (a number is any under 65,536). At fault: sessions.py, `open`, and terms, which took any count. Change: the terms name the contradiction where it stands. Before and after: accepted; "proxies have only 65535 numbers".

--- a/ironfall/terms/__init__.py
+++ b/ironfall/terms/__init__.py
@@ -21,6 +21,7 @@
 
 SECOND = 10_000
 UNITS = {"ms": 10.0, "s": float(SECOND), "min": 60.0 * SECOND}
+NUMBERS = 65_535  # of proxies at one director
 SIZES = {"B": 1, "KiB": 1024, "MiB": 1024 * 1024}
 # What the module calls its gauges, by the operators' words.
 GAUGES = {"util": "busy", "queue": "q", "inflight": "rif", "latency": "lat_ms"}
@@ -459,6 +460,8 @@
     if seconds * SECOND > service.drain_grace - service.slowest_message:
         against("channel", f"at {terms.lines_each_second:g} lines a second one withdrawal at {service.proxies} "
                 f"proxies takes {seconds:.1f}s, longer than the grace leaves")  # fmt: skip
+    if terms.limits.sessions > NUMBERS:
+        against("limits", f"sessions are limited to {terms.limits.sessions}, and proxies have only {NUMBERS} numbers")
     if terms.limits.sessions < service.proxies:
         against("limits", f"sessions are limited to {terms.limits.sessions}, fewer than the {service.proxies} "
                 "proxies of this service")  # fmt: skip
