Let no proxy's word outweigh the others' in sums, gauges and what comes

Seen (stepped, six proxies, one host failing from the sixth second on, 25 s): one proxy that reports ten million failed tries at each host but that one, ten million good ones there, and a class lost whole, keeps the failing host in for good, and the tables of its zone name that host alone: all that the honest ones there send fails. Without it the host is withdrawn in the second after. Sums were pooled by zone and host as they came; of gauges the last writer's stood; a class lost by one proxy alone switched withdrawals off; 9,554,696 exchanges a second were taken to be asked for. Ruled out: absurd lines (tries under failed, unknown hosts, gauges that are not finite were left out already); two numbers of one report. At fault: intake.py, `add_met` and `add_came`. Change: sums are kept by proxy until they are handed on, and weighed: tries of one at most all others' together, failures and times as of the one that tried most beside it, gauges the middle one; of a class, one proxy brings at most what the others do and, with three to tell by, is not alone in losing the largest part. No value is tuned: the bound is the others' word. What waits for its line is merged when a period closes, so nothing slips in after weighing. Also: a host told gone by a change, or never ready, leaves the roster. What it does not do: two names that lie together, or one of two proxies, can't be told from the honest.

--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -314,8 +314,8 @@
             if host is None or not sane(met.tries, met.failed, met.good_us):
                 live.count("sums not understood")
                 continue
-            live.intake.add_met(now, covers, session.zone, host, met.tries, met.failed, met.good_us / 100,
-                                read_gauges(met.gauges))  # fmt: skip
+            live.intake.add_met(now, covers, session.number, session.zone, host, met.tries, met.failed,
+                                met.good_us / 100, read_gauges(met.gauges))  # fmt: skip
         for came in sums.came:
             if came.kind >= len(self.terms.classes) or came.came > 10_000_000:
                 live.count("sums not understood")
--- a/ironfall/director/roster.py
+++ b/ironfall/director/roster.py
@@ -26,7 +26,8 @@
     weight: float
     incarnation: str
     started: int
-    before: str = ""  # the incarnation that this one followed
+    before: str  # the incarnation that this one followed
+    was_ready: bool
 
 
 class Roster:
@@ -48,12 +49,14 @@
             if found[-1].host in seen:
                 raise BadList(f"host {place}: {found[-1].host} is listed twice")
             seen.add(found[-1].host)
-        gone = [e for e in self.entries.values() if whole and e.host not in seen]
         for entry in found:
             self.entries[entry.host] = entry
             self.left.pop(entry.host, None)
-        for entry in gone:
-            self.left[entry.host] = self.entries.pop(entry.host)
+        gone = {e.host for e, row in zip(found, rows, strict=True) if row["state"] == "gone"}
+        for name in [n for n in self.entries if n in gone or (whole and n not in seen)]:
+            entry = self.left[name] = self.entries.pop(name)
+            if not entry.was_ready:  # the decisions never heard of it, and will not say when it may be forgotten
+                self.forget(entry.id)
         return [Listing(e.id, e.zone, e.ready, e.weight, e.started) for e in found]
 
     def _entry(self, now: int, place: int, row: Any) -> Entry:
@@ -85,8 +88,9 @@
             started, before = max(now - round(age * 10), known.started + 1), known.incarnation
         else:
             started = now - round(age * 10) if age * 10 < 2 * self.cold_time else 0
-        place_in = self.zones.index(zone)
-        return Entry(host, self._id(host, packed), place_in, state == "ready", weight, incarnation, started, before)
+        place_in, ready = self.zones.index(zone), state == "ready"
+        was_ready = ready or (known is not None and known.was_ready)
+        return Entry(host, self._id(host, packed), place_in, ready, weight, incarnation, started, before, was_ready)
 
     def _id(self, host: str, packed: bytes) -> bytes:
         if host not in self.ids:
--- a/ironfall/director/turns.py
+++ b/ironfall/director/turns.py
@@ -243,9 +243,10 @@
             self._event(now, what, about, calls)
         for _what, number, at, it in self.intake.hand(now):
             if isinstance(it, Met):
-                good = it.tries - it.failed
-                cost = round(it.good_time / good) if good else 0
-                call = ["heard", number, at, it.tries, it.failed, cost, it.ends - it.begins, it.gauges]
+                said = it.weighed()
+                good = said.tries - said.failed
+                cost = round(said.good_time / good) if good else 0
+                call = ["heard", number, at, said.tries, said.failed, cost, it.ends - it.begins, said.gauges]
                 self._call(now, call, calls)
             elif isinstance(it, Came):
                 self._call(now, ["arrived", number, at, it.came, it.lost], calls)
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -67,6 +67,17 @@
     assert roster.ids["b@" + two["address"]] == second.host  # still listed
 
 
+def test_a_host_told_gone_by_a_change_or_never_ready_leaves_the_roster():
+    roster = Roster(("x",), 100_000)
+    rows = [{**row(n), "zone": "x"} for n in range(2)]
+    (one, _) = roster.read(0, [rows[0], {**rows[1], "state": "draining"}], True)
+    (told,) = roster.read(1, [{**rows[0], "state": "gone"}], False)
+    assert told.host == one.host and not told.ready and len(roster.entries) == 1
+    roster.read(2, [], True)
+    assert list(roster.ids) == [name(0)]  # the decisions hold it; the other they never heard of
+    assert roster.forget(one.host) == name(0) and not roster.hosts
+
+
 def test_a_proxy_keeps_no_record_of_hosts_that_no_table_names():
     holding = Holding(1, {"a": 1, "b": 1})
     picking = Picking(holding, ProxyTerms(shun_after=2, shun_time=10), random.Random(1))
@@ -217,8 +228,8 @@
 
 def test_an_incarnation_that_was_followed_by_another_is_over():
     roster = Roster(("x",), 100_000)
-    told = [{**row(0), "zone": "x", "incarnation": i, "age_ms": a, "state": s}
-            for i, a, s in (("1", 1e9, "ready"), ("2", 100, "ready"), ("1", 1e9, "gone"), ("2", 400, "ready"))]  # fmt: skip
+    words = [("1", 1e9, "ready"), ("2", 100, "ready"), ("1", 1e9, "gone"), ("2", 400, "ready")]
+    told = [{**row(0), "zone": "x", "incarnation": i, "age_ms": a, "state": s} for i, a, s in words]
     seen = [roster.read(200_000 + 1_000 * n, [one], True)[0] for n, one in enumerate(told)]
     assert [s.ready for s in seen] == [True] * 4
     assert seen[1].started == seen[2].started == seen[3].started > seen[0].started
@@ -290,8 +301,8 @@
     intake = Intake(0, 10_000, 1_000.0)
     for proxy, tries, failed, took, gauges in reports:
         intake.add_met(5_000, 10_000, proxy, 0, HOST, tries, failed, (tries - failed) * took * 10.0, gauges)
-    (line,) = [it for *_, it in intake.hand(10_000) if isinstance(it, Met)]
-    return line
+    (line,) = (it for *_, it in intake.hand(10_000) if isinstance(it, Met))
+    return line.weighed()
 
 
 HONEST = [(n, 10 + n, 1, 200 + 10 * n, {"rif": 4.0 + n}) for n in range(5)]
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -55,7 +55,7 @@
         for _ in range(chance.randrange(5)):
             tries = chance.randrange(1, 9)
             sent += tries
-            intake.add_met(now, 1_000, chance.randrange(2), bytes([chance.randrange(30)]), tries, 0, 5.0, {"q": 1.0})
+            intake.add_met(now, 1_000, 7, chance.randrange(2), bytes([chance.randrange(30)]), tries, 0, 5.0, {"q": 1.0})
         lines = intake.hand(now)
         handed.append(len(lines))
         sent -= sum(it.tries for *_, it in lines if isinstance(it, Met))
