Tell a host's starts apart by when they began, not by which came just before

Ruled out: the module's own guard (it was handed the wrong start). Change: each incarnation's beginning is kept as its age told it first or earlier, for the last sixteen; the present one began last. A list that is late by more than the time between two starts, the first of which was never listed, is still taken at its word; so is a registry that tells no ages.

--- a/ironfall/director/roster.py
+++ b/ironfall/director/roster.py
@@ -12,6 +12,8 @@
 from ironfall.api.exchange import address_of
 from ironfall.interface import Listing
 
+STARTS_MOST = 16  # of one host that are remembered
+
 
 class BadList(Exception):
     """The registry's answer can't be taken; the text says where it is wrong. The list held stays."""
@@ -26,7 +28,7 @@
     weight: float
     incarnation: str
     started: int
-    before: str  # the incarnation that this one followed
+    began: dict[str, int]  # by incarnation, as its age told: the present one began last
     was_ready: bool
 
 
@@ -78,19 +80,22 @@
         except (OSError, ValueError, struct.error):
             raise BadList(f"host {place} ({name}): {address!r} is no IPv4 address and port") from None
         host = f"{name}@{address}"
-        known, before = self.entries.get(host) or self.left.get(host), ""
-        if known and incarnation and incarnation == known.before:
+        known = self.entries.get(host) or self.left.get(host)
+        incarnation = incarnation or (known.incarnation if known else "")
+        began = dict(known.began) if known else {}
+        began[incarnation] = min(now - round(age * 10), began.get(incarnation, now))
+        if known and began[incarnation] < max(began.values()):
             return known  # told late, of a process that another has followed
-        if known and incarnation in ("", known.incarnation):
-            # Worked out once: an age that arrives late would look like a new start.
-            started, incarnation, before = known.started, known.incarnation, known.before
+        if known and incarnation == known.incarnation:
+            started = known.started  # worked out once: an age that arrives late would look like a new start
         elif known:
-            started, before = max(now - round(age * 10), known.started + 1), known.incarnation
+            started = max(now - round(age * 10), known.started + 1)
         else:
             started = now - round(age * 10) if age * 10 < 2 * self.cold_time else 0
+        began = dict(sorted(began.items(), key=lambda pair: pair[1])[-STARTS_MOST:])
         place_in, ready = self.zones.index(zone), state == "ready"
         was_ready = ready or (known is not None and known.was_ready)
-        return Entry(host, self._id(host, packed), place_in, ready, weight, incarnation, started, before, was_ready)
+        return Entry(host, self._id(host, packed), place_in, ready, weight, incarnation, started, began, was_ready)
 
     def _id(self, host: str, packed: bytes) -> bytes:
         if host not in self.ids:
