--- a/tests/stepped.py
+++ b/tests/stepped.py
@@ -27,12 +27,13 @@
 
 
 class Stepped:
-    def __init__(self, hosts=6, decide=Director, seed=1, service=(), limits=()):
+    def __init__(self, hosts=6, decide=Director, seed=1, service=(), limits=(), record=None):
         terms = read_terms(str(TERMS), TERMS.read_text())
         self.terms = replace(terms, service=replace(terms.service, **dict(service)),
                              limits=replace(terms.limits, **dict(limits)))  # fmt: skip
         self.at = 1_000.0
-        self.program = Program(self.terms, structlog.get_logger(), seed=seed, decide=decide, monotonic=lambda: self.at)
+        self.program = Program(self.terms, structlog.get_logger(), seed=seed, decide=decide, record=record,
+                               monotonic=lambda: self.at)  # fmt: skip
         self.live = self.program.live
         self.live.world = self
         self.probes, self.peers, self.forgotten = [], {}, []
@@ -82,7 +83,7 @@
     def __init__(self, stepped, name, zone, rate, standing=()):
         self.stepped, self.name, self.zone, self.rate = stepped, name, zone, rate
         self.holding = Holding(3, dict(standing))
-        self.joined, self.whole, self.sent = None, 0, 0
+        self.joined, self.last, self.whole, self.sent = None, None, 0, 0
         self.messages = []  # of the channel: when ordered, when come, lines, version
 
     def call(self, method, path, message=None, **query):
@@ -108,15 +109,17 @@
         self.stepped.peers.pop(self.name, None)
         return self.call("POST", "/v1/leave", pb.Leave(session=self.joined.session))[0]
 
-    def poll(self, **about):
+    def poll(self, lose=False, **about):
+        """`lose`: the answer does not come."""
         about = {"session": self.joined.session, "epoch": self.joined.epoch, "version": self.holding.version,
                  "whole": self.whole, "wait_ms": 0} | about  # fmt: skip
         status, body = self.call("GET", "/v1/poll", **about)
-        if status == 200:
+        if status == 200 and not lose:
             told = codec.decode(pb.State, body, codec.PROTOBUF, "", 1 << 24)
             now = self.stepped.now
             self.messages += [(now - x.waited_us // 100, now, x.lines, x.version) for x in told.carried]
-            outcome = self.holding.apply(codec.unpack_state(told))
+            self.last = codec.unpack_state(told)
+            outcome = self.holding.apply(self.last)
             self.whole = int(outcome in (Outcome.GAP, Outcome.DIFFERS))
         return status
 
