Count toward a joiner's messages only what was written since it came

Ten moments of orders to all within ten seconds used up half of the messages, also of a proxy that had been written none of them. A proxy that strayed stood behind whoever else wanted a binding and found no room. Ruled out: the queue (over half of it was free), the hold for lists kept over a start (a newer one was known), the order by rate. At fault: logic.py, `_bind`, which asked `_room` as orders to all do. Change: `_room` counts moments since a time, in `_bind` since the proxy joined; who strayed comes first.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -238,14 +238,14 @@
         """Bind as many as the channel holds beside what cannot wait, those with the most traffic first."""
         inside = self._inside()
         more = self.head + 2 + sum(h.out for h in self.hosts.values()) + len(self.grades)
-        for number, it in sorted(self.proxies.items(), key=lambda pair: -pair[1].rate):
+        for number, it in sorted(self.proxies.items(), key=lambda pair: (not pair[1].strayed, -pair[1].rate)):
             wanted = [it.zone + self.zones * (1 + k) * (now < g.apart) for k, g in enumerate(self.grades)]
             # Whoever strays without end takes neither the others' channel nor more messages than it may get.
             anew = it.strayed and now - it.resent >= self.span
             if (wanted == it.tables and not anew) or not (self.known or now - it.joined >= self.hold):
                 continue
             if anew:
-                # It hears of nothing until then: one message is left for it whatever was written, in half of the queue.
+                # It hears of nothing until then: one message is left for it, and half of the queue.
                 whole = sum(more + sum(h.lines[t] > 0 for h in inside) for t in set(wanted))
                 if self._room(now, 0.95) - 0.45 * self.queue < whole:
                     continue
@@ -255,7 +255,7 @@
                 lines = sum(h.lines[table] > 0 for h in inside)
                 if not kinds or not lines:
                     continue
-                if not anew and self._room(now, 0.5) < more + lines:
+                if not anew and self._room(now, 0.5, it.joined) < more + lines:
                     return
                 self._send(now, more + lines, 1)
                 it.tables = [table if k in kinds else t for k, t in enumerate(it.tables)]
@@ -577,10 +577,11 @@
         waits = SECOND * sum(h.held for h in gauged) / flow - self.least * self.holds
         return max(0.0, min(3 * late, waits))
 
-    def _room(self, now: int, part: float) -> float:
-        """How many lines still fit in this part of what the rules allow of lines and messages."""
+    def _room(self, now: int, part: float, since: int = 0) -> float:
+        """How many lines still fit in this part of what the rules allow of lines and, since then, of messages."""
         self.moments = [m for m in self.moments if now - m <= self.span]
-        used_up = 0 < part * self.limit <= len(self.moments) and self.moments[-1] != now
+        written = sum(m >= since for m in self.moments)
+        used_up = 0 < part * self.limit <= written and self.moments[-1] != now
         if used_up or (self.draining and part < 0.95):
             return 0.0
         # What is not acknowledged for that long was lost with its stream.
