Bear each proxy's word out by the others', also where it speaks of a host alone

Ruled out: the gauge alone, the times alone (each is enough). At fault: intake.py, lines looked at one by one. Change: `director.weighing`, pure: at a period's end each figure (tries at a host, share that fails, time, each gauge) of a proxy is cut to the largest of another's at any host, this period's or when it spoke last; before it spoke, to what it said when it joined. Of a class no more than all others were brought of all. No value is tuned. A proxy that is alone at a director is believed.

--- a/ironfall/director/intake.py
+++ b/ironfall/director/intake.py
@@ -1,33 +1,17 @@
 """Sums from proxies, gathered by zone and host, handed on at the agreed number of lines a second, oldest first.
 
 Pure. What waits adds up, so that memory is bounded by hosts x proxies and proxies x classes whatever arrives, and no
-exchange is counted twice; a proxy's gauge is replaced by its newer one. Nobody can check a proxy's word, so none
-outweighs the others': what one alone says of a host or a class counts as far as others bear it out.
+exchange is counted twice; a proxy's gauge is replaced by its newer one. `weighing` says how far each word goes.
 """
 
 import math
 from collections import OrderedDict
-from collections.abc import Collection
 from dataclasses import dataclass, field
 from typing import Any
 
-SECOND = 10_000
-
-
-@dataclass(slots=True)
-class Said:
-    """What one proxy met at a host; or all together, weighed."""
-
-    tries: int = 0
-    failed: int = 0
-    good_time: float = 0.0  # tenths of a millisecond, of all good ones together
-    gauges: dict[str, float] = field(default_factory=dict)
+from ironfall.director.weighing import Came, Said, Weighing
 
-    def add(self, other: "Said") -> None:
-        self.tries += other.tries
-        self.failed += other.failed
-        self.good_time += other.good_time
-        self.gauges.update(other.gauges)
+SECOND = 10_000
 
 
 @dataclass(slots=True)
@@ -47,58 +31,6 @@
         for proxy, said in other.said.items():
             self.said.setdefault(proxy, Said()).add(said)
 
-    def weighed(self) -> Said:
-        return weighed(self.said.values())
-
-
-@dataclass(slots=True)
-class Came:
-    """Exchanges of a class that came to a proxy."""
-
-    came: int = 0
-    lost: int = 0
-
-    def add(self, other: "Came") -> None:
-        self.came += other.came
-        self.lost += other.lost
-
-
-def weighed(all_said: Collection[Said]) -> Said:
-    """Together: the tries of no proxy count for more than all others', its failures and times for no more than those
-    of the proxy that tried most beside it, its times for no longer than another's longest; of gauges the middle."""
-    said = sorted((s for s in all_said if s.tries), key=lambda s: s.tries)
-    if len(said) < 2:
-        return said[0] if said else Said()
-    total, most, second = sum(s.tries for s in said), said[-1].tries, said[-2].tries
-    together = Said(min(total, 2 * (total - most)))
-    parts = [min(1.0, second / s.tries) for s in said]
-    heard = sum(s.tries * part for s, part in zip(said, parts, strict=True))
-    together.failed = round(together.tries * sum(s.failed * p for s, p in zip(said, parts, strict=True)) / heard)
-    good = [((s.tries - s.failed) * p, s.good_time / (s.tries - s.failed))
-            for s, p in zip(said, parts, strict=True) if s.tries > s.failed]  # fmt: skip
-    if good:
-        longest = sorted(took for _, took in good)[-2:][0]
-        mean = sum(n * min(took, longest) for n, took in good) / sum(n for n, _ in good)
-        together.good_time = mean * (together.tries - together.failed)
-    for name in sorted({name for s in said for name in s.gauges}):
-        values = sorted(s.gauges[name] for s in said if name in s.gauges)
-        together.gauges[name] = values[(len(values) - 1) // 2]
-    return together
-
-
-def level(lines: Collection[Came]) -> None:
-    """Of a class: no proxy is brought more than all others, or, with three to tell by, loses the largest part alone."""
-    if len(lines) < 2:
-        return
-    top = max(lines, key=lambda it: it.came)
-    rest = sum(it.came for it in lines) - top.came
-    if 0 < rest < top.came:
-        top.came, top.lost = rest, round(top.lost * rest / top.came)
-    if len(lines) > 2:
-        part = sorted(it.lost / max(1, it.came) for it in lines)[-2]
-        for it in lines:
-            it.lost = min(it.lost, round(part * it.came))
-
 
 class Intake:
     def __init__(self, now: int, every: int, lines_each_second: float) -> None:
@@ -106,9 +38,13 @@
         self.met: OrderedDict[tuple[int, bytes], Met] = OrderedDict()
         self.came: OrderedDict[tuple[int, int], Came] = OrderedDict()
         self.ready: OrderedDict[tuple[str, int, object], Any] = OrderedDict()
+        self.weighing = Weighing()
         self.next = now + every
         self.credit, self.paid = 0.0, now
 
+    def joined(self, proxy: int, rate: float) -> None:
+        self.weighing.joined(proxy, rate * self.every / SECOND)
+
     def add_met(self, now: int, covers: int, proxy: int, zone: int, host: bytes, tries: int, failed: int,
                 good_time: float, gauges: dict[str, float]) -> None:  # fmt: skip
         one = Met(now - covers, now, {proxy: Said(tries, failed, good_time, gauges)})
@@ -122,6 +58,7 @@
 
     def forget(self, proxy: int) -> None:
         """A proxy has left: its number may be another's next."""
+        self.weighing.left(proxy)
         for waiting in [k for k in self.came if k[0] == proxy]:
             del self.came[waiting]
         for key in [k for k in self.ready if k[0] == "came" and k[1] == proxy]:
@@ -131,8 +68,8 @@
         """The lines whose time has come: ("met", zone, host, Met) and ("came", proxy, class, Came)."""
         if now >= self.next:
             # The rest of the last period stays in front: the oldest first.
-            for kind in {kind for _, kind in self.came}:
-                level([it for (_, k), it in self.came.items() if k == kind])
+            said = ((proxy, said) for met in self.met.values() for proxy, said in met.said.items())
+            self.weighing.period(said, self.came)
             fresh: dict[tuple[str, int, object], Any] = {("met", *key): met for key, met in self.met.items()}
             fresh |= {("came", *key): came for key, came in self.came.items()}
             for key, it in fresh.items():
--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -244,6 +244,7 @@
         except Full:
             raise Refused(503, f"{self.terms.limits.sessions} proxies are joined, and no more are taken", 2) from None
         session.released = session.confirmed = live.publication.join(session.number)
+        live.intake.joined(session.number, join.rate)
         live.put("joined", session.number, zone, join.rate)
         self.log.info("proxy joined", proxy=join.proxy, zone=join.zone, number=session.number)
         return self._encode(request, pb.Joined(
--- a/ironfall/director/turns.py
+++ b/ironfall/director/turns.py
@@ -19,9 +19,10 @@
 from ironfall.director import explain
 from ironfall.director.channel import Channel, Message
 from ironfall.director.clock import Clock
-from ironfall.director.intake import Came, Intake, Met
+from ironfall.director.intake import Intake, Met
 from ironfall.director.roster import Roster
 from ironfall.director.sessions import Session, Sessions
+from ironfall.director.weighing import Came, together
 from ironfall.interface import Listing, Orders, ServiceTerms
 from ironfall.publication import Publication
 from ironfall.terms import Terms
@@ -243,7 +244,7 @@
             self._event(now, what, about, calls)
         for _what, number, at, it in self.intake.hand(now):
             if isinstance(it, Met):
-                said = it.weighed()
+                said = together(it.said.values())
                 good = said.tries - said.failed
                 cost = round(said.good_time / good) if good else 0
                 call = ["heard", number, at, said.tries, said.failed, cost, it.ends - it.begins, said.gauges]
