--- a/ironfall/director/turns.py
+++ b/ironfall/director/turns.py
@@ -30,7 +30,6 @@
 SECOND = 10_000
 GAP = 40  # between two turns at the least, so that what comes together is decided together
 BEAT = 0.1  # seconds; the loop reads the clock at least that often, and so sees its own standstill
-EVERYONE = 65535
 # Events of one turn go to the module in this order; those of a kind in the order in which they came.
 KINDS = ("listed", "held_between", "kept_from", "list_failed", "joined", "strayed", "applied", "probed", "gauged")
 RANK = {kind: rank for rank, kind in enumerate(KINDS)}
@@ -78,11 +77,9 @@
         self.live.count(f"withdrawals: {evidence.get('cause', 'unknown').partition(':')[0]}" if out else "returns")
         self.said.append(("withdraw" if out else "return", {"host": name, **evidence}))
 
-    def admit(self, table: int, classes: int, level: float, tries: int) -> None:
-        if table != EVERYONE:
-            raise NotImplementedError("levels of one table are not published")
+    def admit(self, classes: int, level: float, tries: int) -> None:
         self.live.publication.admit(classes, level, tries)
-        self.orders.append(["admit", table, classes, level, tries])
+        self.orders.append(["admit", classes, level, tries])
         # Not called a level here: in a log that is how grave a line is.
         said = {"classes": classes, "share": round(level, 4), "tries": tries}
         self.said.append(("admit", {**said, **explain.admission(self.live.decisions)}))
--- a/ironfall/drill/wire.py
+++ b/ironfall/drill/wire.py
@@ -19,6 +19,7 @@
 ATTACHED = struct.Struct(">HHfB")
 GONE, READY, DRAINING = 0, 1, 2
 DELTA, FAILED, FULL, CACHED = 1, 2, 3, 0
+EVERYONE = 65535  # in place of a table: all joined proxies
 REPEATABLE = {"pure": "always", "token": "keyed"}
 
 
@@ -112,8 +113,8 @@
     def withdraw(self, host: bytes, out: bool) -> None:
         self._add("6sB", 24, host, out)
 
-    def admit(self, table: int, classes: int, level: float, tries: int) -> None:
-        self._add("fBHH", 26, level, tries, classes, table)
+    def admit(self, classes: int, level: float, tries: int) -> None:
+        self._add("fBHH", 26, level, tries, classes, EVERYONE)
 
     def probe(self, host: bytes) -> None:
         self._add("6s", 17, host)
--- a/ironfall/lab/others.py
+++ b/ironfall/lab/others.py
@@ -10,8 +10,6 @@
 from ironfall.interface import Listing, Orders, ServiceTerms
 from ironfall.logic import Director
 
-EVERYONE = 65535
-
 
 class Even:
     """One table of all ready hosts, alike, for all proxies; changes at once. Gauges and reports are passed over."""
@@ -109,7 +107,7 @@
 
     def joined(self, now: int, proxy: int, zone: int, rate: float) -> None:
         super().joined(now, proxy, zone, rate)
-        self.orders.admit(EVERYONE, 0, 1.0, 3)
+        self.orders.admit(0, 1.0, 3)
 
 
 class Flooding(Even):
--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -22,7 +22,7 @@
 SMOOTH, STREAM = 30 * SECOND, 8 * SECOND  # the design's smoothing of latency; that of what comes and goes
 CLASS_FLOOR, FLOOR = 0.08, 0.25  # no class is shut out whole: the worst-served one counts too
 THIN = 0.03  # an away line's part of its strength where the solve begins
-EVERYONE, MARKS = 65535, 65536  # the table for all joined proxies; marks are counted, under this
+MARKS = 65536  # marks are counted, under this
 
 Gauge = dict[str, float]
 
@@ -566,7 +566,7 @@
             if (moved or way != grade.way) and self._room(now, 0.8) > (1 + self.head) * len(self.proxies):
                 grade.way, grade.level = way, level
                 self._pay(now)
-                self.orders.admit(EVERYONE, 1 << k, level, way)
+                self.orders.admit(1 << k, level, way)
 
     def _waiting(self, now: int, inside: list[Host], late: float) -> float:
         # Gauges are early, and where answers are late with little waiting it is the way: nothing to shed for.
--- a/ironfall/proxy/program.py
+++ b/ironfall/proxy/program.py
@@ -174,7 +174,6 @@
         kind, terms = exchange.kind, self.terms.service.classes[exchange.kind]
         level, way = self.holding.admitted(kind, self.terms.proxy.usual_tries)
         if level < 1 and self.chance.random() >= level:
-            self.gathered.came[kind][2] += 1
             return pb.Answer(outcome=pb.REFUSED, cause="not let in")
         begun = now()
         ends = begun + min(exchange.left_ms * 10, terms.abandon_time)
@@ -184,7 +183,6 @@
             host = self.picking.pick(begun, kind, passed)
             if host is None:
                 if not passed:
-                    self.gathered.came[kind][3] += 1
                     self.tell("bare", kind=kind)
                     return pb.Answer(outcome=pb.REFUSED, cause="no host to pick")
                 break
--- a/ironfall/proxy/sums.py
+++ b/ironfall/proxy/sums.py
@@ -27,7 +27,7 @@
     def _start(self, now: int) -> None:
         self.since = now
         self.met: dict[str, Met] = {}
-        self.came = [[0, 0, 0, 0] for _ in range(self.classes)]  # came, lost, refused, bare
+        self.came = [[0, 0] for _ in range(self.classes)]  # came, lost
 
     def tried(self, host: str, good: bool, took: int, gauges: dict[str, float]) -> None:
         it = self.met.get(host)
@@ -48,8 +48,8 @@
             gauges = {wire: it.gauges[name] for wire, name in NAMES.items() if name in it.gauges}
             sums.met.append(pb.Met(host=host, tries=it.tries, failed=it.failed, good_us=it.good_us,
                                    gauges=pb.Gauges(**gauges)))  # fmt: skip
-        for kind, (came, lost, refused, bare) in enumerate(self.came):
+        for kind, (came, lost) in enumerate(self.came):
             if came:
-                sums.came.append(pb.Came(kind=kind, came=came, lost=lost, refused=refused, bare=bare))
+                sums.came.append(pb.Came(kind=kind, came=came, lost=lost))
         self._start(now)
         return sums
--- a/ironfall/terms/__init__.py
+++ b/ironfall/terms/__init__.py
@@ -56,7 +56,6 @@
     shun_time: int = 0
     streams: int = 100  # exchanges at once on a connection
     connect_time: int = 2_500
-    idle: int = 15 * SECOND
     standing: int = 6  # hosts of the table it starts with
 
 
@@ -404,7 +403,6 @@
         shun_time=proxy.get("shun-time", _time, plain.shun_time),
         streams=proxy.get("streams", _count, plain.streams),
         connect_time=proxy.get("connect", _time, plain.connect_time),
-        idle=proxy.get("idle", _time, plain.idle),
         standing=proxy.get("standing", _count, plain.standing),
     )
     terms = Terms(
--- a/tests/play.py
+++ b/tests/play.py
@@ -91,7 +91,7 @@
     def withdraw(self, host: bytes, out: bool) -> None:
         self._order("withdraw" if out else "return", host)
 
-    def admit(self, table: int, classes: int, level: float, tries: int) -> None:
+    def admit(self, classes: int, level: float, tries: int) -> None:
         self._order("admit", classes)
         for k in range(len(USUAL.classes)):
             if not classes or classes >> k & 1:
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -70,8 +70,8 @@
                 everybody.add(host)
             elif what == "admit":
                 for kind in range(len(self.terms.classes)):
-                    if about[1] == 0 or about[1] >> kind & 1:
-                        self.admits[kind] = (about[2], about[3])
+                    if about[0] == 0 or about[0] >> kind & 1:
+                        self.admits[kind] = (about[1], about[2])
                         everybody.add(kind)
             elif what == "bind":
                 binds.append(about)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -91,7 +91,7 @@
     bed.order([])
     answer = bed.ask().get(timeout=2)
     assert (answer.outcome, answer.cause) == (pb.REFUSED, "no host to pick")
-    assert bed.proxy.gathered.came[LISTING] == [1, 0, 0, 1]
+    assert bed.proxy.gathered.came[LISTING] == [1, 0] and ("bare", {"kind": LISTING}) in bed.told
 
 
 def test_exchanges_in_flight_finish_where_they_are_when_tables_change():
