Take out the PUTVAL codec, which no program reads or writes

Found by the review: decode and encode of collectd's PUTVAL lines, 50 lines, were reached by their own tests, fuzzing and benchmark alone; nothing listens for such lines and nothing sends them. collectd's binary packets, its JSON by POST and Graphite's lines stay as they are. The JSON's tests keep their cases, and compare kinds too, which PUTVAL could not carry.

--- a/benchmarks/codecs.py
+++ b/benchmarks/codecs.py
@@ -7,7 +7,7 @@
 
 from benchmarks.common import percentile
 from ironfall.metrics import collectd
-from ironfall.metrics.collectd_text import decode_json, decode_putval, encode_json, encode_putval
+from ironfall.metrics.collectd_text import decode_json, encode_json
 from ironfall.metrics.graphite import Lines, format_line, parse_line
 from ironfall.metrics.mapping import Mapping
 from ironfall.metrics.point import Point
@@ -57,9 +57,6 @@
     measure("collectd JSON, write", lambda: [encode_json(listed[n : n + 100]) for n in range(0, COUNT, 100)],
             sum(map(len, posts)))  # fmt: skip
     measure("collectd JSON, read", lambda: [decode_json(p) for p in posts])
-    putvals = [encode_putval(one) for one in listed]
-    measure("PUTVAL, write", lambda: [encode_putval(one) for one in listed], sum(len(p) + 1 for p in putvals))
-    measure("PUTVAL, read", lambda: [decode_putval(p) for p in putvals])
     mapping, readings = Mapping([("servers.{host}.inflight", "rif", 1.0)]), Readings(30.0, 2.0)
     readings.listed({f"node{n}": (b"%d" % n, 0.0) for n in range(400)})
 
--- a/benchmarks/fuzz.py
+++ b/benchmarks/fuzz.py
@@ -3,7 +3,7 @@
     pip install -r requirements-fuzz.txt
     python -m benchmarks.fuzz TARGET -max_total_time=60 -seed=1
 
-Targets: graphite, lines, collectd, json, putval, records, exchange, servers. An input that breaks one is written to a
+Targets: graphite, lines, collectd, json, records, exchange, servers. An input that breaks one is written to a
 file by the fuzzer and named; time and memory are bounded by `-timeout=2 -rss_limit_mb=512`.
 """
 
@@ -54,11 +54,6 @@
     collectd_text.encode_json(collectd_text.decode_json(data))
 
 
-def read_putval(data):
-    for one in collectd_text.decode_putval(data.decode("utf-8", "replace")):
-        collectd_text.encode_putval(one)
-
-
 def read_records(data):
     records, size, fault = unseal(data)
     assert size <= len(data) and (fault or size == len(data)) and all(records)
@@ -96,7 +91,6 @@
     "lines": [b"a b 1\nc d 2\n"],
     "collectd": collectd.encode([LIST]),
     "json": [collectd_text.encode_json([LIST]).encode()],
-    "putval": [collectd_text.encode_putval(LIST).encode(), b"PUTVAL a/b-c/d-e interval=1 N:U:2"],
     "records": [seal(b"one") + seal(b"two")],
     "exchange": [exchange.frame(**{"answer": {"id": 1, "outcome": 1, "cause": "full"}})],
     "servers": [b'(servers "s" (by "o") (host "a" (address "127.0.0.1:9") (zone "z") (weight 1.5) (state drain))'
--- a/ironfall/metrics/collectd_text.py
+++ b/ironfall/metrics/collectd_text.py
@@ -1,20 +1,17 @@
-"""collectd's text forms, both ways: the JSON that its write_http plugin posts, and PUTVAL lines.
+"""collectd's JSON, both ways, as its write_http plugin posts it.
 
-Source: collectd's documentation, write_http ("Format JSON") and "Plain text protocol". Value lists are as in the binary
-form; unknown values (null, U, nan) are gauges of NaN.
+Source: collectd's documentation, write_http ("Format JSON"). Value lists are as in the binary form; unknown values
+(null) are gauges of NaN.
 
->>> [one] = decode_putval('PUTVAL "node7/exchanges/queue_length" interval=1 1733000000.5:4')
+>>> one = ValueList("node7", "exchanges", "", "queue_length", "", 1733000000.5, 1.0, [(GAUGE, 4.0)])
 >>> one.series(), one.at, one.values
 ('node7.exchanges.queue_length', 1733000000.5, [(1, 4.0)])
->>> encode_putval(one)
-'PUTVAL "node7/exchanges/queue_length" interval=1 1733000000.500:4.0'
 >>> decode_json(encode_json([one]).encode()) == [one]
 True
 """
 
 import json
 import math
-import re
 from typing import Any
 
 from ironfall.metrics.collectd import DERIVE, GAUGE, KINDS, STRING_MOST, ValueList
@@ -23,9 +20,7 @@
 BODY_MOST = 1 << 20
 LISTS_MOST = 10_000
 VALUES_MOST = 100
-LINE_MOST = 4096
 _STRINGS = ("host", "plugin", "plugin_instance", "type", "type_instance")
-_PUTVAL = re.compile(r'PUTVAL\s+(?:"([^"\\]*)"|(\S+))((?:\s+[a-z_]+=\S+)*)((?:\s+[0-9.N]+(?::[^\s:]+)+)+)\s*\Z', re.I)
 
 
 def decode_json(body: bytes) -> list[ValueList]:
@@ -89,47 +84,3 @@
         rows.append({"values": values, "dstypes": [KINDS[k] for k, _ in one.values], "dsnames": names,
                      "time": one.at, "interval": one.interval, **strings})  # fmt: skip
     return json.dumps(rows)
-
-
-def decode_putval(line: str) -> list[ValueList]:
-    """A value list for each time that the line names; raises `Malformed`. Values are taken as gauges: what they
-    really are stands in a types.db that the line's reader may not have."""
-    found = _PUTVAL.match(line) if len(line) <= LINE_MOST else None
-    if not found:
-        raise Malformed(f"{line[:40]!r} is no PUTVAL line")
-    identifier, options, values = found[1] or found[2] or "", found[3], found[4]
-    parts = identifier.split("/")
-    if len(parts) != 3 or not all(parts):
-        raise Malformed(f"{identifier[:40]!r} is not host/plugin-instance/type-instance")
-    plugin, _, plugin_instance = parts[1].partition("-")
-    kind, _, type_instance = parts[2].partition("-")
-    interval = 0.0
-    for option in options.split():
-        if option.startswith("interval="):
-            interval = _plain(option[9:])
-    lists = []
-    for word in values.split():
-        at, *each = word.split(":")
-        when = 0.0 if at in ("N", "n") else _plain(at)
-        numbers = [(GAUGE, math.nan if v in ("U", "u") else _plain(v)) for v in each[:VALUES_MOST]]
-        lists.append(ValueList(parts[0], plugin, plugin_instance, kind, type_instance, when, interval, numbers))
-    return lists
-
-
-def _plain(word: str) -> float:
-    try:
-        number = float(word) if "_" not in word else math.nan
-    except ValueError:
-        number = math.nan
-    if not math.isfinite(number) or abs(number) > 1e300:
-        raise Malformed(f"{word[:40]!r} is no number")
-    return number
-
-
-def encode_putval(one: ValueList) -> str:
-    plugin = one.plugin + (f"-{one.plugin_instance}" if one.plugin_instance else "")
-    kind = one.type + (f"-{one.type_instance}" if one.type_instance else "")
-    identifier = "/".join(p.replace("/", "_").replace('"', "_").replace("\\", "_") for p in (one.host, plugin, kind))
-    values = ":".join("U" if math.isnan(v) else repr(v) if k == GAUGE else str(int(v)) for k, v in one.values)
-    at = f"{one.at:.3f}" if one.at else "N"
-    return f'PUTVAL "{identifier}" interval={one.interval:g} {at}:{values}'
--- a/tests/test_metrics_files.py
+++ b/tests/test_metrics_files.py
@@ -18,7 +18,7 @@
 from ironfall.durable.ring import Ring
 from ironfall.metrics import collectd, plot
 from ironfall.metrics.collectd import ValueList
-from ironfall.metrics.collectd_text import decode_json, decode_putval, encode_json, encode_putval
+from ironfall.metrics.collectd_text import decode_json, encode_json
 from ironfall.metrics.links import GraphiteSender
 from ironfall.metrics.overflow import Overflow
 from ironfall.metrics.point import Malformed, Point
@@ -181,17 +181,15 @@
 
 
 def told(lists):
-    # NaN is not equal to itself, and a PUTVAL line has no kinds.
+    # NaN is not equal to itself.
     return [(x.host, x.plugin, x.plugin_instance, x.type, x.type_instance, x.at, x.interval,
-             ["nan" if math.isnan(v) else v for _, v in x.values]) for x in lists]  # fmt: skip
+             [(k, "nan" if math.isnan(v) else v) for k, v in x.values]) for x in lists]  # fmt: skip
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
 @given(st.lists(lists, min_size=1, max_size=4))
-def test_text_forms_round_trip(sent):
+def test_json_round_trips(sent):
     assert told(decode_json(encode_json(sent).encode())) == told(sent)
-    for one in sent:
-        assert told(decode_putval(encode_putval(one))) == told([one])
 
 
 @settings(max_examples=300, deadline=None, derandomize=True)
@@ -199,11 +197,10 @@
        lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.sampled_from(["values", "dstypes", "time"]),
        inner, max_size=3), max_leaves=12).map(lambda v: json.dumps(v).encode())))  # fmt: skip
 def test_any_bytes_are_value_lists_or_malformed(data):
-    for decode in (decode_json, lambda d: decode_putval(d.decode("utf-8", "replace"))):
-        try:
-            decode(data)
-        except Malformed:
-            pass
+    try:
+        decode_json(data)
+    except Malformed:
+        pass
 
 
 @pytest.mark.parametrize("name", ["collectd_text", "types", "retention", "plot", "readings", "mapping"])
