Bind who has waited over the hold before the busiest

Seen: twenty names that join anew every 0.6 s, name a high rate and never poll keep all others unbound (1 of 12 joiners in 19 s; a hundred: none). The rate that orders bindings is the joiner's own word. Ruled out: the limit of joins whose first poll has not come (a name that joins anew takes no more places), the queue (1,770 of 3,000 lines). At fault: logic.py, `_bind`'s order. Change: whoever is unbound for longer than the hold comes first; who joins anew never is. Not mended: the messages that one name is written over several sessions (xfail).

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -236,9 +236,13 @@
 
     def _bind(self, now: int) -> None:
         """Bind as many as the channel holds beside what cannot wait, those with the most traffic first."""
+        # The traffic is their own word: who has waited for long goes before those who come again and again.
+        due = {n for n, p in self.proxies.items() if min(p.tables) < 0 and now - p.joined > self.hold}
         inside = self._inside()
         more = self.head + 2 + sum(h.out for h in self.hosts.values()) + len(self.grades)
-        for number, it in sorted(self.proxies.items(), key=lambda pair: (not pair[1].strayed, -pair[1].rate)):
+        for number, it in sorted(
+            self.proxies.items(), key=lambda pair: (not pair[1].strayed, pair[0] not in due, -pair[1].rate)
+        ):
             wanted = [it.zone + self.zones * (1 + k) * (now < g.apart) for k, g in enumerate(self.grades)]
             # Whoever strays without end takes neither the others' channel nor more messages than it may get.
             anew = it.strayed and now - it.resent >= self.span
@@ -578,7 +582,7 @@
         return max(0.0, min(3 * late, waits))
 
     def _room(self, now: int, part: float, since: int = 0) -> float:
-        """How many lines still fit in this part of what the rules allow of lines and, since then, of messages."""
+        """How many lines still fit in this part of what the rules allow, of messages since a time."""
         self.moments = [m for m in self.moments if now - m <= self.span]
         written = sum(m >= since for m in self.moments)
         used_up = 0 < part * self.limit <= written and self.moments[-1] != now
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -138,6 +138,45 @@
     assert waits[True] <= waits[False] + 10_000, waits
 
 
+def test_many_names_that_join_anew_in_a_loop_do_not_keep_a_joiner_from_its_tables():
+    # The rate that orders bindings is a joiner's own word: twenty names that named a high one kept all others out.
+    stepped = Stepped(hosts=30, service={"proxies": 9})
+    calm = stepped.peer("calm")
+    stepped.run(10)
+    loops = [stepped.peer(f"loop{n}", rate=1e6) for n in range(100)]
+    for peer in loops:
+        del stepped.peers[peer.name]  # they never poll
+    late, waited = stepped.peer("late", standing=[name(0)]), 0
+    while len(late.holding.binds) < 3:
+        for peer in loops:
+            assert peer.join() in (200, 503)
+        stepped.run(0.6)
+        waited += 6_000
+        assert waited < stepped.terms.service.bare_time
+    assert stepped.live.channel.most <= stepped.terms.service.queue_limit
+    assert max(at - ordered for ordered, at, *_ in calm.messages) < 10_000
+
+
+@pytest.mark.xfail(strict=True, reason="a name that joins anew is a proxy of its own to the decisions: each of its "
+                   "sessions is written a binding, and their messages are not counted together")  # fmt: skip
+def test_a_name_that_joins_anew_in_a_loop_is_written_no_more_messages_than_one_proxy_may_be():
+    stepped = Stepped(hosts=12, service={"message_limit": 12})
+    peer, written = stepped.peer(), []
+    leave = stepped.live.channel.leave
+
+    def left(now):
+        messages = leave(now)
+        written.extend(now for m in messages if m.proxy >= 0)
+        return messages
+
+    stepped.live.channel.leave = left
+    for n in range(40):
+        stepped.run(0.5)
+        stepped.list([row(k, "draining" if k == n % 12 and n % 2 else "ready") for k in range(12)])
+        peer.join()
+    assert most_within(written, stepped.terms.service.message_span) <= 12
+
+
 def test_sessions_beyond_the_numbers_that_proxies_have_are_refused_at_start():
     text = TERMS.read_text().replace("(listen", "(limits (sessions 70000))\n  (listen")
     with pytest.raises(Unreadable, match="sessions are limited to 70000.*65535"):
