Believe whoever carries most of the traffic, as it said when it joined

Seen on rereading the weighing of before: one proxy with nearly all traffic beside idle ones was held to what those met. A host that failed 80 of its 100 tries counted as failing none, answers of 900 ms as of 50: the director would have been blind to what matters, and with remembered figures for good. At fault: weighing.py, bounds by the largest of another's figure, however little that one had met. Ruled out: equal proxies (no difference). Change: of amounts a proxy counts for what it named at its join, or all others together if that is more; where the others met as much as it did, no figure of its own counts for more than the largest of another's in this period, and at one host it weighs no more than the next; else it is the main witness. Who said nothing in a period is taken for as busy as usual. Nothing but the rate of the join is remembered. Before and after: 0 and 80 of 80 failures counted beside idle proxies. A proxy that names a high rate at its join and then lies is believed up to it: the rate stands in the log of joins.

--- a/ironfall/director/intake.py
+++ b/ironfall/director/intake.py
@@ -68,8 +68,7 @@
         """The lines whose time has come: ("met", zone, host, Met) and ("came", proxy, class, Came)."""
         if now >= self.next:
             # The rest of the last period stays in front: the oldest first.
-            said = ((proxy, said) for met in self.met.values() for proxy, said in met.said.items())
-            self.weighing.period(said, self.came)
+            self.weighing.period([met.said for met in self.met.values()], self.came)
             fresh: dict[tuple[str, int, object], Any] = {("met", *key): met for key, met in self.met.items()}
             fresh |= {("came", *key): came for key, came in self.came.items()}
             for key, it in fresh.items():
--- a/ironfall/director/weighing.py
+++ b/ironfall/director/weighing.py
@@ -1,9 +1,10 @@
 """How far one proxy's word goes, where nobody can check it: as far as others bear it out. Pure.
 
-No value here is tuned, and none can be asked of the terms, which do not say how much a proxy may honestly meet. The
-bound is the others: nobody's largest figure of a period counts for more than the largest of another, at whatever host.
-Where a host is spoken of by several, shares and times are those of all alike, and gauges the middle one. Two that lie
-together can't be told from two that do not; nor, of two proxies, which one lies. A proxy that is alone is believed.
+No value here is tuned. A proxy names its usual rate when it joins; beyond that it counts for no more than all others
+together. Where the others met as much as it did, no figure of its own (the share that fails, the time, a gauge) counts
+for more than the largest of another's at any host, and of a host that several met it weighs no more than the next. Who
+carries most of the traffic, as it said when it joined, is the main witness and is believed; so is one that is alone.
+Two that lie together can't be told from two that do not.
 """
 
 from collections.abc import Collection, Iterable
@@ -18,11 +19,13 @@
     failed: int = 0
     good_time: float = 0.0  # tenths of a millisecond, of all good ones together
     gauges: dict[str, float] = field(default_factory=dict)
+    weight: int = 0  # tries, as far as their share and time are borne out
 
     def add(self, other: "Said") -> None:
         self.tries += other.tries
         self.failed += other.failed
         self.good_time += other.good_time
+        self.weight += other.weight
         self.gauges.update(other.gauges)
 
     @property
@@ -30,16 +33,11 @@
         return self.good_time / (self.tries - self.failed) if self.tries > self.failed else 0.0
 
     def figures(self) -> dict[str, float]:
-        return {"tries": self.tries, "share": self.failed / (self.tries or 1), "took": self.took, **self.gauges}
-
-    def cut(self, bounds: dict[str, float]) -> None:
-        """To no more than the bounds, of each figure that has one."""
-        share = min(self.failed / (self.tries or 1), bounds.get("share", 1.0))
-        took = min(self.took, bounds.get("took", self.took))
-        self.tries = int(min(self.tries, bounds.get("tries", self.tries)))
-        self.failed = round(share * self.tries)
+        return {"share": self.failed / self.tries, "took": self.took, **self.gauges}
+
+    def set(self, tries: int, share: float, took: float) -> None:
+        self.tries, self.failed = tries, round(share * tries)
         self.good_time = took * (self.tries - self.failed)
-        self.gauges = {name: min(value, bounds.get(name, value)) for name, value in self.gauges.items()}
 
 
 @dataclass(slots=True)
@@ -55,15 +53,14 @@
 
 
 def together(all_said: Collection[Said]) -> Said:
-    """Of a host, by all that spoke of it: nobody's failures and times weigh more than of whom met it next most."""
-    said = sorted((s for s in all_said if s.tries), key=lambda s: s.tries)
+    """What all that spoke of a host met there: shares and times by their weight, of gauges the middle one."""
+    said = [s for s in all_said if s.tries and s.weight]
     if len(said) < 2:
         return said[0] if said else Said()
-    whole, weights = sum(s.tries for s in said), [min(s.tries, said[-2].tries) for s in said]
-    share = sum(w * s.failed / s.tries for w, s in zip(weights, said, strict=True)) / sum(weights)
-    found = Said(whole, round(whole * share))
-    good = [(w * (s.tries - s.failed) / s.tries, s.took) for w, s in zip(weights, said, strict=True)]
-    if any(w for w, _ in good):
+    whole, weight = sum(s.tries for s in said), sum(s.weight for s in said)
+    found = Said(whole, round(whole * sum(s.weight * s.failed / s.tries for s in said) / weight))
+    good = [(s.weight * (s.tries - s.failed) / s.tries, s.took) for s in said]
+    if sum(w for w, _ in good):
         found.good_time = sum(w * t for w, t in good) / sum(w for w, _ in good) * (whole - found.failed)
     for name in sorted({name for s in said for name in s.gauges}):
         values = sorted(s.gauges[name] for s in said if name in s.gauges)
@@ -72,58 +69,80 @@
 
 
 class Weighing:
-    """`usual`: each joined proxy's largest figures of when it spoke last; before that, what it said when it joined."""
-
     def __init__(self) -> None:
-        self.usual: dict[int, dict[str, float]] = {}
+        self.usual: dict[int, float] = {}  # what each joined proxy is usually brought in a period, by its own word
 
     def joined(self, proxy: int, much: float) -> None:
-        """`much`: exchanges that usually come to it in a period."""
-        self.usual[proxy] = {"tries": much, "came": much}
+        self.usual[proxy] = much
 
     def left(self, proxy: int) -> None:
         self.usual.pop(proxy, None)
 
-    def period(self, met: Iterable[tuple[int, Said]], came: dict[tuple[int, int], Came]) -> None:
-        """Cuts what each proxy said of hosts, and of classes, to what the others bear out."""
-        lines = list(met)
-        fresh: dict[int, dict[str, float]] = {}
+    def period(self, met: Collection[dict[int, Said]], came: dict[tuple[int, int], Came]) -> None:
+        """Cuts what was said in a period, by host and proxy and by proxy and class, to what the others bear out."""
+        lines = [(proxy, said) for host in met for proxy, said in host.items() if said.tries > 0]
+        main = self._much((proxy, said.tries) for proxy, said in lines)
         for proxy, said in lines:
-            mine = fresh.setdefault(proxy, {})
+            part = main[proxy][0]
+            if part < 1:
+                said.set(max(1, round(said.tries * part)), said.failed / said.tries, said.took)
+            said.weight = said.tries
+        figures: dict[int, dict[str, float]] = {}
+        for proxy, said in lines:
+            mine = figures.setdefault(proxy, {})
             for name, value in said.figures().items():
                 mine[name] = max(value, mine.get(name, value))
-        for (proxy, _), one in came.items():
-            mine = fresh.setdefault(proxy, {})
-            mine["came"] = mine.get("came", 0) + one.came
-        largest = {proxy: figures | fresh.get(proxy, {}) for proxy, figures in (self.usual | fresh).items()}
-        bounds = {proxy: self._bounds(proxy, largest) for proxy in fresh}
         for proxy, said in lines:
-            said.cut(bounds[proxy])
-        everywhere = sum(figures.get("came", 0) for figures in largest.values())
-        for (proxy, _), one in came.items():
-            # Of one class no more than all others were brought of all.
-            bound = int(everywhere - largest[proxy]["came"])
-            if one.came > bound and len(largest) > 1:
-                one.came, one.lost = bound, round(one.lost * bound / one.came)
-        for kind in sorted({kind for _, kind in came}):
-            # With three to tell by, none loses the largest part alone.
-            those = [one for (_, k), one in came.items() if k == kind and one.came]
-            part = sorted(one.lost / one.came for one in those)[-2] if len(those) > 2 else 1.0
-            for one in those:
-                one.lost = min(one.lost, round(part * one.came))
-        for proxy in self.usual.keys() & fresh.keys():
-            mine = largest[proxy]
-            rest = {"came": everywhere - mine["came"]} if "came" in mine and len(largest) > 1 else {}
-            most = bounds[proxy] | rest
-            self.usual[proxy] = {name: min(value, most.get(name, value)) for name, value in mine.items()}
+            if not main[proxy][1]:
+                self._cut(said, self._largest(proxy, figures))
+        for host in met:
+            tries = sorted(said.tries for said in host.values())
+            for proxy, said in host.items() if len(tries) > 1 else ():
+                if proxy in main and not main[proxy][1]:
+                    said.weight = min(said.weight, tries[-2])
+        self._classes(came)
+
+    def _much(self, spoken: Iterable[tuple[int, int]]) -> dict[int, tuple[float, bool]]:
+        """By proxy: what part of its amounts counts, and whether it is the main witness."""
+        much: dict[int, float] = {}
+        for proxy, amount in spoken:
+            much[proxy] = much.get(proxy, 0) + amount
+        # Who has said nothing in this period is taken for as busy as usual: else the first to speak is alone.
+        whole, found = sum((self.usual | much).values()), {}
+        for proxy, mine in much.items():
+            others = whole - mine
+            counts = min(mine, max(self.usual.get(proxy, 0.0), others)) if others else mine
+            found[proxy] = (counts / mine if mine else 1.0, counts > others)
+        return found
 
     @staticmethod
-    def _bounds(proxy: int, largest: dict[int, dict[str, float]]) -> dict[str, float]:
-        """Of each figure of a host, the largest of another proxy. One says nothing of shares: it takes two."""
-        others = [figures for other, figures in largest.items() if other != proxy]
+    def _largest(proxy: int, figures: dict[int, dict[str, float]]) -> dict[str, float]:
+        """Of each figure the largest of another proxy. One says nothing of shares: it takes two."""
+        others = [mine for other, mine in figures.items() if other != proxy]
         found = {}
-        for name in sorted({name for figures in others for name in figures} - {"came"}):
-            values = [figures[name] for figures in others if name in figures]
+        for name in sorted({name for mine in others for name in mine}):
+            values = [mine[name] for mine in others if name in mine]
             if name != "share" or len(values) > 1:
                 found[name] = max(values)
         return found
+
+    @staticmethod
+    def _cut(said: Said, most: dict[str, float]) -> None:
+        share = min(said.failed / said.tries, most.get("share", 1.0))
+        said.set(said.tries, share, min(said.took, most.get("took", said.took)))
+        said.gauges = {name: min(value, most.get(name, value)) for name, value in said.gauges.items()}
+
+    def _classes(self, came: dict[tuple[int, int], Came]) -> None:
+        main = self._much((proxy, one.came) for (proxy, _), one in came.items())
+        for (proxy, _), one in came.items():
+            if main[proxy][0] < 1:
+                lost = one.lost / max(1, one.came)
+                one.came = round(one.came * main[proxy][0])
+                one.lost = round(one.came * lost)
+        for kind in sorted({kind for _, kind in came}):
+            # With three to tell by, none loses the largest part alone.
+            those = [(p, one) for (p, k), one in came.items() if k == kind and one.came]
+            part = sorted(one.lost / one.came for _, one in those)[-2] if len(those) > 2 else 1.0
+            for proxy, one in those:
+                if not main[proxy][1]:
+                    one.lost = min(one.lost, round(part * one.came))
