Keep a host that has left the list out, whatever is told late of it

The roster passed over the word and handed on the entry held, which still said ready, as it had when it was left out: the host came back for five seconds. A late "gone" of an earlier start, told by a change, took the present process off the list likewise. Ruled out: the module's guard (the start handed to it was the held one's). Change: who leaves the list is held as not ready; what was told late takes nobody off.

--- a/ironfall/director/roster.py
+++ b/ironfall/director/roster.py
@@ -51,12 +51,15 @@
             if found[-1].host in seen:
                 raise BadList(f"host {place}: {found[-1].host} is listed twice")
             seen.add(found[-1].host)
+        # What was told late is the entry held, and takes nobody off the list.
+        fresh = [(e, row) for e, row in zip(found, rows, strict=True) if e is not self.entries.get(e.host)]
+        gone = {entry.host for entry, row in fresh if row["state"] == "gone"}
         for entry in found:
             self.entries[entry.host] = entry
             self.left.pop(entry.host, None)
-        gone = {e.host for e, row in zip(found, rows, strict=True) if row["state"] == "gone"}
         for name in [n for n in self.entries if n in gone or (whole and n not in seen)]:
             entry = self.left[name] = self.entries.pop(name)
+            entry.ready = False  # a late word of an earlier start must not bring it back as it was
             if not entry.was_ready:  # the decisions never heard of it, and will not say when it may be forgotten
                 self.forget(entry.id)
         return [Listing(e.id, e.zone, e.ready, e.weight, e.started) for e in found]
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -287,6 +287,9 @@
     seen = [roster.read(200_000 + 1_000 * n, [one], True)[0] for n, one in enumerate(told)]
     assert [s.ready for s in seen] == [True] * 4
     assert seen[1].started == seen[2].started == seen[3].started > seen[0].started
+    roster.read(250_000, [], True)
+    (late,) = roster.read(260_000, [told[0]], True)  # of the first start, when the second has left the list
+    assert not late.ready and late.started == seen[1].started
     (quiet,) = roster.read(300_000, [{**told[1], "incarnation": ""}], True)
     assert quiet.started == seen[1].started  # a row that names no start invents none
 
