Log the rate that a proxy names when it joins, which its sums are held to

A proxy that names a high rate and then lies in its sums is believed up to it: who looks for it needs the rate, and the log of joins did not have it.

--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -246,7 +246,7 @@
         session.released = session.confirmed = live.publication.join(session.number)
         live.intake.joined(session.number, join.rate)
         live.put("joined", session.number, zone, join.rate)
-        self.log.info("proxy joined", proxy=join.proxy, zone=join.zone, number=session.number)
+        self.log.info("proxy joined", proxy=join.proxy, zone=join.zone, number=session.number, rate=join.rate)
         return self._encode(request, pb.Joined(
             session=token, epoch=live.epoch, version=session.released,
             wait_ms=self.terms.limits.wait // 10, report_ms=self.terms.service.report_every // 10,
