--- a/benchmarks/turn.py
+++ b/benchmarks/turn.py
@@ -13,7 +13,7 @@
 from benchmarks.common import TERMS
 from ironfall.api import codec
 from ironfall.director.clock import Clock
-from ironfall.director.turns import Live
+from ironfall.director.live import Live
 from ironfall.logic import Director
 from ironfall.publication import Publication
 from ironfall.terms import read_terms
@@ -57,7 +57,7 @@
         for session in live.sessions.by_token.values():
             if session.carried and chance.random() < 0.5:
                 for message in live.sessions.confirm(session, session.released):
-                    live.put("applied", message)
+                    live.applied(message)
         for _ in range(PROXIES // 20):  # each proxy reports once a second, of a third of the hosts
             proxy = chance.randrange(PROXIES)
             zone = proxy % 3
@@ -70,7 +70,7 @@
             live.intake.add_came(proxy, 0, 3, 0)
         begun = time.perf_counter()
         live.turn(now)
-        live._release(now)
+        live.exit.release(now)
         lengths.append(time.perf_counter() - begun)
     lengths.sort()
     print(json.dumps({"hosts": HOSTS, "proxies": PROXIES, "turns": len(lengths), "versions": live.publication.version,
--- a/ironfall/cli.py
+++ b/ironfall/cli.py
@@ -424,6 +424,14 @@
     click.echo(f"{path}: as it was at adoption {number}; ironfall files status tells when it is adopted")
 
 
+@main.command()
+def serve() -> None:
+    """Run a director on the platform, as RELAY_CONFIG and its kin tell, until SIGTERM (docs/platform.md)."""
+    from ironfall.platform.program import main as run
+
+    sys.exit(run())
+
+
 @main.command()
 @click.argument("file", type=FILE)
 @click.argument("turns", type=FILE)
--- a/ironfall/director/intake.py
+++ b/ironfall/director/intake.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from ironfall.director.weighing import Came, Said, Weighing
+from ironfall.director.weighing import Came, Said, Weighing, together
 
 SECOND = 10_000
 LATER_MOST = 4  # periods of a line that waits, before they are added up
@@ -108,6 +108,19 @@
             self.credit -= 1
         return handed
 
+    def calls(self, now: int) -> list[list[Any]]:
+        """What `hand` hands on, as calls on the decisions."""
+        made: list[list[Any]] = []
+        for _what, number, about, it in self.hand(now):
+            if isinstance(it, Met):
+                said = together(it.whole().values())
+                good = said.tries - said.failed
+                cost = round(said.good_time / good) if good else 0
+                made.append(["heard", number, about, said.tries, said.failed, cost, it.ends - it.begins, said.gauges])
+            else:
+                made.append(["arrived", number, about, it.came, it.lost])
+        return made
+
 
 def sane(tries: int, failed: int, good_us: int) -> bool:
     """Whether a line of a proxy's sums can be true; what can't be is not guessed at."""
--- /dev/null
+++ b/ironfall/director/live.py
@@ -0,0 +1,165 @@
+"""The live director over the long-poll protocol: the turn loop, and its exit into publication, channel and sessions."""
+
+from typing import Any, Protocol, TextIO
+
+from hdrh.histogram import HdrHistogram
+
+from ironfall.director import explain
+from ironfall.director.channel import Channel, Message
+from ironfall.director.clock import Clock
+from ironfall.director.intake import Intake
+from ironfall.director.roster import Roster
+from ironfall.director.sessions import Session, Sessions
+from ironfall.director.turns import BEAT, SECOND, Decide, Turns
+from ironfall.publication import Publication
+from ironfall.terms import Terms
+
+
+class World(Protocol):
+    """What the turn loop sets going and does not wait for."""
+
+    def watch(self) -> None: ...
+    def probe(self, host: str) -> None: ...
+    def forget(self, host: str) -> None: ...
+
+
+class LongPoll:
+    """The exit: a turn's orders into the publication, and one message for each proxy concerned into the channel."""
+
+    def __init__(self, live: "Live") -> None:
+        self.live = live
+        self.mark_now = -1
+        self.bound: dict[int, int] = {}  # classes by proxy, as a mask
+        self.said: list[tuple[str, dict[str, Any]]] = []
+        self.checked = live.clock.now()
+
+    def set_line(self, table: int, host: bytes, weight: float) -> None:
+        name = self.live.roster.hosts[host]
+        self.live.publication.set_line(table, name, weight)
+        self.said.append(("line", {"table": table, "host": name, "weight": round(weight, 4)}))
+
+    def bind(self, proxy: int, table: int, classes: int) -> None:
+        self.live.publication.bind(proxy, table, classes)
+        self.bound[proxy] = self.bound.get(proxy, 0) | (classes or self.live.every)
+        session = self.live.sessions.by_number.get(proxy)
+        self.said.append(("bind", {"proxy": session.name if session else proxy, "table": table, "classes": classes}))
+
+    def withdraw(self, host: bytes, out: bool) -> None:
+        name = self.live.roster.hosts[host]
+        self.live.publication.withdraw(name, out)
+        evidence = explain.withdrawal(self.live.decisions, host, self.live.at)
+        # Who is listed no more comes back nowhere: its withdrawal is let go.
+        what = "withdraw" if out else "return" if name in self.live.roster.entries else "let go"
+        if out:
+            self.live.count(f"withdrawals: {evidence.get('cause', 'unknown').partition(':')[0]}")
+        elif what == "return":
+            self.live.count("returns")
+        self.said.append((what, {"host": name, **evidence}))
+
+    def admit(self, classes: int, level: float, tries: int) -> None:
+        self.live.publication.admit(classes, level, tries)
+        # Not called a level here: in a log that is how grave a line is.
+        said = {"classes": classes, "share": round(level, 4), "tries": tries}
+        self.said.append(("admit", {**said, **explain.admission(self.live.decisions)}))
+
+    def probe(self, host: bytes) -> None:
+        self.live.world.probe(self.live.roster.hosts[host])
+
+    def mark(self, version: int) -> None:
+        self.mark_now = version
+
+    def watch_list(self) -> None:
+        self.live.world.watch()
+
+    def forget(self, host: bytes) -> None:
+        if name := self.live.roster.forget(host):
+            self.live.world.forget(name)
+
+    def look(self, now: int) -> None:
+        if now - self.checked >= SECOND // 5:
+            self.checked = now
+            for session in self.live.sessions.lapsed(now):
+                self.live.leave(session, "no poll within the time allowed")
+
+    def close(self, now: int) -> None:
+        live, mark = self.live, self.mark_now
+        costs = live.publication.close()
+        head = live.service.message_head + (mark >= 0)
+        for proxy, lines in costs.items():
+            session = live.sessions.by_number.get(proxy)
+            whole = session is not None and session.resync and self.bound.get(proxy) == live.every
+            live.channel.put(now, Message(proxy, live.publication.version, lines + head, now, mark, whole))
+        for what, about in self.said:
+            live.log.info(what, version=live.publication.version, **about)
+        self.said, self.mark_now, self.bound = [], -1, {}
+
+    def release(self, now: int) -> float:
+        live = self.live
+        for message in live.channel.leave(now):
+            session = live.sessions.by_number.get(message.proxy)
+            if session is None:
+                live.gone(message)
+                continue
+            session.released = max(session.released, message.version)
+            if message.whole:
+                session.resync, session.whole_at = False, message.version
+            session.carried.append(message)
+            lines, messages = live.by_zone[session.zone]
+            live.by_zone[session.zone] = (lines + message.lines, messages + 1)
+            message.leaves = now
+            session.wake()
+        leaves = live.channel.due()
+        return BEAT if leaves is None else (leaves - now) / SECOND
+
+
+class Live(Turns):
+    """One director. `world` is set by whoever starts it, before `run`."""
+
+    world: World
+
+    def __init__(self, terms: Terms, seed: int, clock: Clock, epoch: int, decide: Decide, log: Any,
+                 record: TextIO | None = None) -> None:  # fmt: skip
+        self.terms, self.epoch, self.clock = terms, epoch, clock
+        limits = terms.limits
+        self.publication = Publication(epoch, len(terms.classes), limits.versions, limits.entries)
+        self.channel = Channel(terms.lines_each_second)
+        self.intake = Intake(clock.now(), terms.service.report_every, terms.report_lines)
+        self.roster = Roster(terms.zones, terms.service.cold_time)
+        self.sessions = Sessions(limits.sessions, limits.lapse, limits.polls)
+        self.every = (1 << len(terms.classes)) - 1
+        self.by_zone = [(0.0, 0)] * len(terms.zones)  # lines and messages that left, to proxies still there
+        self.applies = HdrHistogram(1, 600_000_000, 3)  # from order to the proxy's confirmation
+        super().__init__(terms.service, seed, clock, decide, log, LongPoll(self), self.intake, limits.events, record)
+
+    def leave(self, session: Session, why: str) -> None:
+        self.sessions.close(session)
+        # What left the channel for it will not be acknowledged any more, and takes up no room all the same.
+        for message in session.carried:
+            self.gone(message)
+        self.publication.leave(session.number)
+        self.channel.forget(session.number)
+        self.intake.forget(session.number)
+        self.put("left", session.number)
+        self.log.info("proxy left", proxy=session.name, number=session.number, why=why)
+
+    def want_whole(self, session: Session, why: str) -> None:
+        """A whole state for a proxy that can't be told a delta: the decisions bind it anew, and count its lines."""
+        if not session.resync and self.put("strayed", session.number):
+            session.resync = True
+            self.count(f"whole states: {why}")
+            self.log.info("whole state", proxy=session.name, cause=why)
+
+    def applied(self, message: Message) -> None:
+        """A proxy has confirmed a message."""
+        if message.mark >= 0 and self.put("applied", message.mark):
+            self.applies.record_value(max(1, (self.clock.now() - message.ordered) * 100))
+
+    def gone(self, message: Message) -> None:
+        """A message that nobody will confirm takes up no more of the channel."""
+        if message.mark >= 0:
+            self.put("applied", message.mark)
+
+    def stop(self) -> None:
+        super().stop()
+        for session in list(self.sessions.by_token.values()):
+            session.wake()
--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -17,9 +17,10 @@
 from ironfall.api.http import Answer, Bounds, Gone, HttpClient, HttpServer, Refused, Request
 from ironfall.director.clock import Clock
 from ironfall.director.intake import sane
+from ironfall.director.live import Live
 from ironfall.director.roster import BadList
 from ironfall.director.sessions import Full, Session, due
-from ironfall.director.turns import Decide, Live
+from ironfall.director.turns import Decide
 from ironfall.files.service import Files
 from ironfall.generated import ironfall_pb2 as pb
 from ironfall.logic import Director
@@ -266,8 +267,7 @@
         if not live.sessions.may_poll(live.clock.now(), session):
             raise Refused(429, f"over {self.terms.limits.polls} polls a second", 1)
         for message in live.sessions.confirm(session, version):
-            if message.mark >= 0:
-                live.put("applied", message)
+            live.applied(message)
         whole = request.number("whole", 0) == 1
         wait = min(self.terms.limits.wait / SECOND, max(0, request.number("wait_ms", 10**9)) / 1000)
         # Jittered, so that ten thousand polls begun at one moment do not end at one.
--- a/ironfall/director/turns.py
+++ b/ironfall/director/turns.py
@@ -1,31 +1,24 @@
 """The turn: all that came in since the last one, in one order, at one clock reading, put to the decisions.
 
-One greenlet (`Live.run`) owns the module, the publication and the channel; others only put events into a bounded
-queue or add sums to the intake. The seed, the terms and the sequence of turns determine every order, so that a
-record of turns can be played again (`replay`).
+One greenlet (`Turns.run`) owns the module and the exit; others only put events into a bounded queue or add sums to
+the intake. The seed, the terms and the sequence of turns determine every order, so that a record of turns can be
+played again (`replay`). The loop knows no protocol: it is handed an exit that gathers a turn's orders and closes
+them into messages (`live` for the long-poll protocol, `ironfall.platform` for the platform's).
 """
 
 import heapq
 import json
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sized
 from typing import Any, Protocol, TextIO
 
 import gevent
 from gevent.event import Event
 from hdrh.histogram import HdrHistogram
 
-from ironfall.director import explain
-from ironfall.director.channel import Channel, Message
 from ironfall.director.clock import Clock
-from ironfall.director.intake import Intake, Met
-from ironfall.director.roster import Roster
-from ironfall.director.sessions import Session, Sessions
-from ironfall.director.weighing import Came, together
 from ironfall.interface import Listing, Orders, ServiceTerms
-from ironfall.publication import Publication
-from ironfall.terms import Terms
 
 SECOND = 10_000
 GAP = 40  # between two turns at the least, so that what comes together is decided together
@@ -38,107 +31,91 @@
 Decide = Callable[[Orders, ServiceTerms, random.Random, int], Any]
 
 
-class World(Protocol):
-    """What the turn loop sets going and does not wait for."""
+class Exit(Protocol):
+    """What a turn's orders go out by: it gathers them as they are given and closes them into messages."""
 
-    def watch(self) -> None: ...
-    def probe(self, host: str) -> None: ...
-    def forget(self, host: str) -> None: ...
+    def set_line(self, table: int, host: bytes, weight: float) -> None: ...
+    def bind(self, proxy: int, table: int, classes: int) -> None: ...
+    def withdraw(self, host: bytes, out: bool) -> None: ...
+    def admit(self, classes: int, level: float, tries: int) -> None: ...
+    def probe(self, host: bytes) -> None: ...
+    def mark(self, version: int) -> None: ...
+    def watch_list(self) -> None: ...
+    def forget(self, host: bytes) -> None: ...
+    def look(self, now: int) -> None: ...  # before a turn, at least as often as the clock is read
+    def close(self, now: int) -> None: ...
+    def release(self, now: int) -> float: ...  # what leaves by itself; the seconds until more does
+
+
+class Sums(Protocol):
+    """What proxies met and what came to them, until a turn takes it."""
+
+    next: int  # when more is ready whatever is ready now
+
+    @property
+    def ready(self) -> Sized: ...
+    def calls(self, now: int) -> list[list[Any]]: ...
 
 
 class Given:
-    """`Orders` of the live director: into the publication, the timers and the world."""
+    """`Orders` as the decisions are handed them: written down for the record and passed on; timers stay here."""
 
-    def __init__(self, live: "Live") -> None:
-        self.live = live
-        self.mark_now = -1
-        self.bound: dict[int, int] = {}  # classes by proxy, as a mask
+    def __init__(self, turns: "Turns", way: Exit) -> None:
+        self.turns, self.exit = turns, way
         self.orders: list[list[Any]] = []
-        self.said: list[tuple[str, dict[str, Any]]] = []
 
     def set_line(self, table: int, host: bytes, weight: float) -> None:
-        name = self.live.roster.hosts[host]
-        self.live.publication.set_line(table, name, weight)
         self.orders.append(["set_line", table, host.hex(), weight])
-        self.said.append(("line", {"table": table, "host": name, "weight": round(weight, 4)}))
+        self.exit.set_line(table, host, weight)
 
     def bind(self, proxy: int, table: int, classes: int) -> None:
-        self.live.publication.bind(proxy, table, classes)
-        self.bound[proxy] = self.bound.get(proxy, 0) | (classes or self.live.every)
         self.orders.append(["bind", proxy, table, classes])
-        session = self.live.sessions.by_number.get(proxy)
-        self.said.append(("bind", {"proxy": session.name if session else proxy, "table": table, "classes": classes}))
+        self.exit.bind(proxy, table, classes)
 
     def withdraw(self, host: bytes, out: bool) -> None:
-        name = self.live.roster.hosts[host]
-        self.live.publication.withdraw(name, out)
         self.orders.append(["withdraw", host.hex(), out])
-        evidence = explain.withdrawal(self.live.decisions, host, self.live.at)
-        # Who is listed no more comes back nowhere: its withdrawal is let go.
-        what = "withdraw" if out else "return" if name in self.live.roster.entries else "let go"
-        if out:
-            self.live.count(f"withdrawals: {evidence.get('cause', 'unknown').partition(':')[0]}")
-        elif what == "return":
-            self.live.count("returns")
-        self.said.append((what, {"host": name, **evidence}))
+        self.exit.withdraw(host, out)
 
     def admit(self, classes: int, level: float, tries: int) -> None:
-        self.live.publication.admit(classes, level, tries)
         self.orders.append(["admit", classes, level, tries])
-        # Not called a level here: in a log that is how grave a line is.
-        said = {"classes": classes, "share": round(level, 4), "tries": tries}
-        self.said.append(("admit", {**said, **explain.admission(self.live.decisions)}))
+        self.exit.admit(classes, level, tries)
 
     def probe(self, host: bytes) -> None:
         self.orders.append(["probe", host.hex()])
-        self.live.world.probe(self.live.roster.hosts[host])
+        self.exit.probe(host)
 
     def mark(self, version: int) -> None:
         self.orders.append(["mark", version])
-        self.mark_now = version
+        self.exit.mark(version)
 
     def watch_list(self) -> None:
         self.orders.append(["watch_list"])
-        self.live.world.watch()
+        self.exit.watch_list()
 
     def wake(self, delay: int, token: int) -> None:
         self.orders.append(["wake", delay, token])
-        self.live.later(self.live.at + delay, token)
+        self.turns.later(self.turns.at + delay, token)
 
     def forget(self, host: bytes) -> None:
         self.orders.append(["forget", host.hex()])
-        if name := self.live.roster.forget(host):
-            self.live.world.forget(name)
-
-
-class Live:
-    """One director. `world` is set by whoever starts it, before `run`."""
-
-    world: World
-
-    def __init__(self, terms: Terms, seed: int, clock: Clock, epoch: int, decide: Decide, log: Any,
-                 record: TextIO | None = None) -> None:  # fmt: skip
-        self.terms, self.clock, self.epoch, self.log, self.record = terms, clock, epoch, log, record
-        self.decide, self.seed = decide, seed
-        limits = terms.limits
-        now = self.at = clock.now()
-        self.publication = Publication(epoch, len(terms.classes), limits.versions, limits.entries)
-        self.channel = Channel(terms.lines_each_second)
-        self.intake = Intake(now, terms.service.report_every, terms.report_lines)
-        self.roster = Roster(terms.zones, terms.service.cold_time)
-        self.sessions = Sessions(limits.sessions, limits.lapse, limits.polls)
-        self.every = (1 << len(terms.classes)) - 1
+        self.exit.forget(host)
+
+
+class Turns:
+    def __init__(self, service: ServiceTerms, seed: int, clock: Clock, decide: Decide, log: Any, way: Exit,
+                 intake: Sums, most: int, record: TextIO | None = None) -> None:  # fmt: skip
+        self.service, self.clock, self.log, self.record = service, clock, log, record
+        self.decide, self.seed, self.exit, self.sums, self.most = decide, seed, way, intake, most
+        self.at = clock.now()
         self.events: deque[tuple[int, str, tuple[Any, ...]]] = deque()
         self.timers: list[tuple[int, int, int]] = []
         self.timed = 0
         self.stir = Event()
         self.stopping = False
         self.counts: dict[str, int] = {}
-        self.by_zone = [(0.0, 0)] * len(terms.zones)  # lines and messages that left, to proxies still there
         self.lengths = HdrHistogram(1, 60_000_000, 3)  # microseconds of a turn
         self.waits = HdrHistogram(1, 60_000_000, 3)  # from event to the turn that takes it
-        self.applies = HdrHistogram(1, 600_000_000, 3)  # from order to the proxy's confirmation
-        self.given = Given(self)
+        self.given = Given(self, way)
         self.decisions: Any = None
 
     def count(self, what: str, more: int = 1) -> None:
@@ -151,7 +128,7 @@
 
         Sessions begin and end whatever waits: a join is refused before it is begun.
         """
-        if len(self.events) >= self.terms.limits.events and what not in ("left", "joined"):
+        if len(self.events) >= self.most and what not in ("left", "joined"):
             self.count("events refused")
             return False
         self.events.append((self.clock.now(), what, about))
@@ -167,24 +144,6 @@
         self.timed += 1
         heapq.heappush(self.timers, (at, self.timed, token))
 
-    def leave(self, session: Session, why: str) -> None:
-        self.sessions.close(session)
-        # What left the channel for it will not be acknowledged any more, and takes up no room all the same.
-        for message in session.carried:
-            self._gone(message)
-        self.publication.leave(session.number)
-        self.channel.forget(session.number)
-        self.intake.forget(session.number)
-        self.put("left", session.number)
-        self.log.info("proxy left", proxy=session.name, number=session.number, why=why)
-
-    def want_whole(self, session: Session, why: str) -> None:
-        """A whole state for a proxy that can't be told a delta: the decisions bind it anew, and count its lines."""
-        if not session.resync and self.put("strayed", session.number):
-            session.resync = True
-            self.count(f"whole states: {why}")
-            self.log.info("whole state", proxy=session.name, cause=why)
-
     # the loop
 
     def run(self) -> None:
@@ -195,14 +154,14 @@
             self.stir.wait(wait)
 
     def begin(self) -> None:
-        self.at = self.last_turn = self.checked = self.clock.now()
-        self.decisions = self.decide(self.given, self.terms.service, random.Random(self.seed), self.at)
+        self.at = self.last_turn = self.clock.now()
+        self.decisions = self.decide(self.given, self.service, random.Random(self.seed), self.at)
         if self.record:
             first = {"seed": self.seed, "now": self.at, "orders": self.given.orders}
             self.record.write(json.dumps(first) + "\n")
         self._close(self.at)
-        if not self.terms.service.ask_for_list:
-            self.world.watch()
+        if not self.service.ask_for_list:
+            self.exit.watch_list()
 
     def step(self) -> float:
         """What is due now; the seconds until something may be due again."""
@@ -210,30 +169,22 @@
         now = self.clock.now()
         if self.clock.stalls != stalls:
             self.log.warning("stood still", stalls=self.clock.stalls, seconds=round(self.clock.stalled, 1))
-        if now - self.checked >= SECOND // 5:
-            self.checked = now
-            for session in self.sessions.lapsed(now):
-                self.leave(session, "no poll within the time allowed")
-        due = bool(self.events) or bool(self.timers and self.timers[0][0] <= now) or now >= self.intake.next
-        due = due or (bool(self.intake.ready) and now - self.last_turn >= SECOND // 20)
+        self.exit.look(now)
+        due = bool(self.events) or bool(self.timers and self.timers[0][0] <= now) or now >= self.sums.next
+        due = due or (bool(self.sums.ready) and now - self.last_turn >= SECOND // 20)
         if due and now - self.last_turn >= GAP:
             self.turn(now)
             self.last_turn = now
-        self._release(now)
-        wait = BEAT
+        wait = min(BEAT, self.exit.release(now))
         if self.events:
             wait = min(wait, (self.last_turn + GAP - now) / SECOND)
         if self.timers:
             wait = min(wait, (self.timers[0][0] - now) / SECOND)
-        if (leaves := self.channel.due()) is not None:
-            wait = min(wait, (leaves - now) / SECOND)
         return max(0.0005, wait)
 
     def stop(self) -> None:
         self.stopping = True
         self.stir.set()
-        for session in list(self.sessions.by_token.values()):
-            session.wake()
 
     def turn(self, now: int) -> None:
         begun = self.clock.monotonic()
@@ -243,68 +194,25 @@
         calls: list[list[Any]] = []
         for came, what, about in events:
             self.waits.record_value(max(1, (now - came) * 100))
-            self._event(now, what, about, calls)
-        for _what, number, at, it in self.intake.hand(now):
-            if isinstance(it, Met):
-                said = together(it.whole().values())
-                good = said.tries - said.failed
-                cost = round(said.good_time / good) if good else 0
-                call = ["heard", number, at, said.tries, said.failed, cost, it.ends - it.begins, said.gauges]
-                self._call(now, call, calls)
-            elif isinstance(it, Came):
-                self._call(now, ["arrived", number, at, it.came, it.lost], calls)
+            self._call(now, [what, *about], calls)
+        for call in self.sums.calls(now):
+            self._call(now, call, calls)
         while self.timers and self.timers[0][0] <= now:
             self._call(now, ["woken", heapq.heappop(self.timers)[2]], calls)
         self._close(now, calls)
         self.lengths.record_value(max(1, int((self.clock.monotonic() - begun) * 1e6)))
 
-    def _gone(self, message: Message) -> None:
-        if message.mark >= 0:
-            message.proxy = -1
-            self.put("applied", message)
-
-    def _event(self, now: int, what: str, about: tuple[Any, ...], calls: list[list[Any]]) -> None:
-        if what == "applied":
-            message: Message = about[0]
-            if message.proxy >= 0:
-                self.applies.record_value(max(1, (now - message.ordered) * 100))
-            self._call(now, ["applied", message.mark], calls)
-        else:
-            self._call(now, [what, *about], calls)
-
     def _call(self, now: int, call: list[Any], calls: list[list[Any]]) -> None:
         calls.append(call)
         put_to(self.decisions, now, call)
 
     def _close(self, now: int, calls: list[list[Any]] | None = None) -> None:
         """Gather what was ordered at this turn into one message for each proxy concerned."""
-        orders, mark = self.given.orders, self.given.mark_now
-        costs = self.publication.close()
-        head = self.terms.service.message_head + (mark >= 0)
-        for proxy, lines in costs.items():
-            session = self.sessions.by_number.get(proxy)
-            whole = session is not None and session.resync and self.given.bound.get(proxy) == self.every
-            self.channel.put(now, Message(proxy, self.publication.version, lines + head, now, mark, whole))
-        for what, about in self.given.said:
-            self.log.info(what, version=self.publication.version, **about)
-        if self.record and calls is not None and (calls or orders):
-            self.record.write(json.dumps({"now": now, "calls": calls, "orders": orders}, default=_plain) + "\n")
-        self.given.orders, self.given.said, self.given.mark_now, self.given.bound = [], [], -1, {}
-
-    def _release(self, now: int) -> None:
-        for message in self.channel.leave(now):
-            session = self.sessions.by_number.get(message.proxy)
-            if session is None:
-                self._gone(message)
-                continue
-            session.released = max(session.released, message.version)
-            if message.whole:
-                session.resync, session.whole_at = False, message.version
-            session.carried.append(message)
-            lines, messages = self.by_zone[session.zone]
-            self.by_zone[session.zone] = (lines + message.lines, messages + 1)
-            message.leaves = now
-            session.wake()
+        self.exit.close(now)
+        if self.record and calls is not None and (calls or self.given.orders):
+            turn = {"now": now, "calls": calls, "orders": self.given.orders}
+            self.record.write(json.dumps(turn, default=_plain) + "\n")
+        self.given.orders = []
 
 
 def _plain(value: Any) -> Any:
--- a/ironfall/drill/wire.py
+++ b/ironfall/drill/wire.py
@@ -6,7 +6,8 @@
 from collections.abc import Iterable
 from typing import Any, BinaryIO
 
-from ironfall.interface import ExchangeClass, Listing, ServiceTerms
+from ironfall.agreed import read_service, tenths
+from ironfall.interface import Listing
 from ironfall.logic import Director
 
 EVENT, ACTION, ENTRY = 56, 16, 25
@@ -20,59 +21,12 @@
 GONE, READY, DRAINING = 0, 1, 2
 DELTA, FAILED, FULL, CACHED = 1, 2, 3, 0
 EVERYONE = 65535  # in place of a table: all joined proxies
-REPEATABLE = {"pure": "always", "token": "keyed"}
 
 
 class Malformed(Exception):
     """The frame is not one; the text says what is wrong and where."""
 
 
-def tenths(ms: float) -> int:
-    return round(ms * 10)
-
-
-def read_terms(raw: bytes) -> ServiceTerms:
-    """Read the start message; optional keys may be absent and unknown ones are skipped."""
-    top: dict[str, Any] = json.loads(raw)
-    info, rules, limits = top.get("FamilyInfo", {}), top.get("Contract", {}), top.get("Limits", {})
-    prices = top.get("Prices", {})
-    if info.get("KeyRanges", 0):
-        raise NotImplementedError("this site has slices (KeyRanges > 0), which ironfall does not serve yet")
-    classes = tuple(
-        ExchangeClass(
-            expected_time=tenths(c["Aim"]),
-            abandon_time=tenths(c["Deadline"]),
-            earnings=c.get("Worth", 1.0),
-            repeatable=REPEATABLE.get(c.get("Effect", ""), "never"),
-            key_scope=c.get("KeyScope", ""),
-            key_life=tenths(c.get("KeyTtl", 0)),
-            )
-        for c in top["RequestClasses"]
-    )
-    report = top.get("Report", {})
-    return ServiceTerms(
-        zones=len(top.get("Dcs", [])) or 1,
-        classes=classes,
-        ask_for_list=top.get("MembershipMode") == "on_request",
-        drain_grace=tenths(rules.get("StopSendingWithin", 1000)),
-        cold_time=tenths(rules.get("Cold", 0)),
-        cold_share=rules.get("StartCapacity", 1.0),
-        bare_time=tenths(info.get("Bare", 1000)),
-        queue_limit=info.get("QueueCap", 1000.0),
-        message_head=info.get("Overhead", 0.0),
-        message_limit=info.get("MessagesMost", 0),
-        message_span=tenths(info.get("UpdateWindow", 10000)),
-        slowest_message=tenths(info.get("TransitMax", 1000)),
-        report_every=tenths(info.get("ReportEvery", 1000)),
-        proxies=info.get("ProxyCount", 0),
-        admits=info.get("ThrottleBy") == "fraction",
-        may_probe=bool(limits.get("Probing")),
-        probe_price=prices.get("Probe", 0.0),
-        crossing_price=prices.get("CrossZone", 0.0),
-        gauges=tuple(report.get("Columns") or ()),
-    )
-
-
 class Writer:
     """The reply being written: one for the process, since a frame's records share a tail."""
 
@@ -173,7 +127,7 @@
             seed, start, length = struct.unpack_from(">QII", body, at + 3)
             if tail + start + length > len(body):
                 raise Malformed("the start message runs past the frame")
-            terms = read_terms(body[tail + start : tail + start + length])
+            terms = read_service(json.loads(body[tail + start : tail + start + length]))
             orders = WireOrders(self.writer, instance)
             self.columns[instance] = terms.gauges
             self.directors[instance] = Director(orders, terms, random.Random(seed), now)
--- /dev/null
+++ b/ironfall/platform/calls.py
@@ -0,0 +1,138 @@
+"""Orders to the relay, a call at a time: JSON-RPC lines, each answered soon or never."""
+
+import json
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent.event import Event
+
+from ironfall.platform.outbox import Outbox
+from ironfall.platform.sockets import dial, ended, read
+from ironfall.platform.start import Address
+
+DIAL_TIME = 0.4
+ANSWER_TIME = 0.25  # the relay answers within 50 ms or never
+IDLE_MOST = 3.0  # the relay closes what stands idle for up to ten seconds; a new connection is no cost
+ANSWER_MOST = 64 * 1024
+WAIT_FIRST, WAIT_MOST = 0.03, 0.5  # between two tries, jittered
+
+
+class NotDone(Exception):
+    """The call was not carried out, surely: said again it costs nothing."""
+
+
+class Uncertain(Exception):
+    """It was carried out whole or not at all."""
+
+
+class Calls:
+    def __init__(self, address: Address, outbox: Outbox, proof_time: float, chance: random.Random, log: Any,
+                 count: Callable[[str], None]) -> None:  # fmt: skip
+        self.address, self.outbox, self.chance, self.log, self.count = address, outbox, chance, log, count
+        self.proof_time = proof_time  # how long a call that may have been carried out is given to show it
+        self.stir, self.proved = Event(), Event()
+        self.number = 0
+        self.sock: Any = None
+        self.used = 0.0
+        self.longest = 0.0  # of the calls since last asked
+        self.bad: set[str] = set()  # verbs of orders that the relay refused, each logged once
+
+    def run(self) -> None:
+        wait = WAIT_FIRST
+        while True:
+            self.stir.wait()
+            self.stir.clear()
+            while orders := self.outbox.take():
+                wait = WAIT_FIRST if self._one(orders, wait) else min(WAIT_MOST, 2 * wait)
+
+    def moved(self, address: Address) -> None:
+        """The relay listens elsewhere: the next call goes there, the one that is out is answered where it was made."""
+        self.address, self.used = address, 0.0
+
+    def applied(self, mark: int) -> None:
+        if mark == self.outbox.mark_out:
+            self.proved.set()
+
+    def _one(self, orders: list[str], wait: float) -> bool:
+        self.proved.clear()
+        self.count("calls")
+        try:
+            begun = time.monotonic()
+            done = self._call(orders)
+            self.longest = max(self.longest, time.monotonic() - begun)
+        except NotDone as cause:
+            self.count(f"calls not done: {cause}")
+            self.outbox.undone()
+            gevent.sleep(wait * (0.5 + self.chance.random()))
+            return False
+        except Uncertain as cause:
+            self.count(f"calls uncertain: {cause}")
+            self.close()
+            # A confirmation of its mark shows that it was carried out; sent twice, it would fill the channel twice.
+            if self.outbox.mark_out >= 0 and self.proved.wait(self.proof_time):
+                self.count("calls proved")
+                self.outbox.done(len(orders))
+            else:
+                self.outbox.undone()
+            return True
+        if (bad := self.outbox.done(done)) and done < len(orders):
+            self.count("orders refused")
+            if bad[:16] not in self.bad:
+                self.bad.add(bad[:16])
+                self.log.warning("an order was refused", order=bad)
+        return True
+
+    def _call(self, orders: list[str]) -> int:
+        """How many of the orders were taken."""
+        self.number += 1
+        call = b'{"jsonrpc":"2.0","id":%d,"method":"commit","params":{"orders":[%s]}}\n' % (
+            self.number, ",".join(orders).encode())  # fmt: skip
+        now = time.monotonic()
+        if self.sock is not None and (now - self.used > IDLE_MOST or ended(self.sock)):
+            self.close()
+        try:
+            if self.sock is None:
+                self.sock = dial(self.address, DIAL_TIME)
+            self.sock.settimeout(ANSWER_TIME)
+            self.sock.sendall(call)
+        except OSError as cause:
+            # The relay reads a call by its end: without its last byte it is none.
+            self.close()
+            raise NotDone(type(cause).__name__) from None
+        self.used = now
+        answer = bytearray()
+        until = now + ANSWER_TIME
+        try:
+            while b"\n" not in answer:
+                more = read(self.sock, max(0.001, until - time.monotonic()))
+                answer += more
+                if not more or len(answer) > ANSWER_MOST:
+                    raise Uncertain("cut" if not more else "endless answer")
+        except TimeoutError:
+            raise Uncertain("no answer") from None
+        except OSError:
+            raise Uncertain("cut") from None
+        return self._read(bytes(answer.partition(b"\n")[0]), len(orders))
+
+    def _read(self, line: bytes, most: int) -> int:
+        try:
+            told = json.loads(line)
+            if told["id"] != self.number:
+                raise Uncertain("unreadable answer")
+            if "error" in told:
+                said = told["error"]
+                raise NotDone(str(said.get("message", said) if isinstance(said, dict) else said)[:40])
+            done = told["result"]["ok_count"]
+        except (ValueError, KeyError, TypeError, RecursionError):
+            raise Uncertain("unreadable answer") from None
+        if not isinstance(done, int) or isinstance(done, bool) or not 0 <= done <= most:
+            raise Uncertain("unreadable answer")
+        return done
+
+    def close(self) -> None:
+        if self.sock is not None:
+            self.sock.close()
+            self.sock = None
--- /dev/null
+++ b/ironfall/platform/outbox.py
@@ -0,0 +1,99 @@
+"""Orders until the relay has carried them out: in order, the newest word of each once. Pure.
+
+All orders are absolute, so that whatever is uncertain may be said again: it changes nothing, and costs its lines.
+"""
+
+import json
+from typing import Any
+
+CALL_MOST = 60_000  # bytes of orders in one call, agreed
+Key = tuple[Any, ...]
+
+
+class Outbox:
+    def __init__(self, classes: tuple[str, ...]) -> None:
+        self.classes = classes
+        self.waiting: dict[Key, str] = {}
+        self.out: dict[Key, str] = {}  # of the call that is out, as far as it is still wanted
+        self.sent: list[Key] = []  # what that call said, in order
+        self.mark = -1  # the newest that waits
+        self.mark_out = -1
+
+    # what is ordered
+
+    def line(self, table: int, host: bytes, weight: float) -> None:
+        # In its place, so that no binding to this table comes before the line.
+        self._put(("line", table, host), {"verb": "SET", "cluster": table, "endpoint": host.decode(),
+                                          "w": float(f"{weight:.6g}")}, True)  # fmt: skip
+
+    def bind(self, proxy: int, table: int, classes: int) -> None:
+        order = {"verb": "USE", "node": proxy, "cluster": table, **self._routes(classes)}
+        self._put(("bind", proxy, classes), order)
+
+    def withdraw(self, host: bytes, out: bool) -> None:
+        self._put(("host", host), {"verb": "OUT" if out else "IN", "endpoint": host.decode()})
+
+    def admit(self, classes: int, level: float, tries: int) -> None:
+        order = {"verb": "LIMIT", **self._routes(classes), "admit": float(f"{level:.6g}"), "policy": tries}
+        self._put(("level", classes), order)
+
+    def left(self, proxy: int) -> None:
+        """Nobody can be bound who has left; should it come back, it is bound anew."""
+        for held in (self.waiting, self.out):
+            for key in [k for k in held if k[0] == "bind" and k[1] == proxy]:
+                del held[key]
+
+    def _routes(self, classes: int) -> dict[str, list[str]]:
+        named = [name for k, name in enumerate(self.classes) if classes >> k & 1]
+        return {"routes": named} if classes and len(named) < len(self.classes) else {}
+
+    def _put(self, key: Key, order: dict[str, Any], in_place: bool = False) -> None:
+        if not in_place:
+            self.waiting.pop(key, None)
+        self.waiting[key] = json.dumps(order, separators=(",", ":"))
+
+    # what becomes of it
+
+    def take(self) -> list[str]:
+        """The orders of the next call, and from now on out; none where nothing waits."""
+        found: list[str] = []
+        size = 0
+        # One nonce stands for all before it: the channel keeps the order.
+        mark = json.dumps({"verb": "SYNC", "nonce_out": max(0, self.mark), "set": 0}, separators=(",", ":"))
+        self.out, self.sent, self.mark_out = {}, [], -1
+        for key, order in self.waiting.items():
+            size += len(order) + 1
+            if size > CALL_MOST - len(mark) - 1:
+                break
+            found.append(order)
+            self.sent.append(key)
+            self.out[key] = order
+        for key in self.sent:
+            del self.waiting[key]
+        if found and self.mark >= 0 and not self.waiting:
+            found.append(mark)
+            self.sent.append(("mark",))
+            self.mark_out, self.mark = self.mark, -1
+        return found
+
+    def done(self, count: int) -> str:
+        """The call was carried out so far: what it stopped at is dropped and returned, what follows waits again."""
+        rest = self.sent[count:]
+        bad = self.out.get(rest[0], "an order no longer wanted") if rest else ""
+        self._again(rest[1:])
+        return bad
+
+    def undone(self) -> None:
+        """Nothing of the call is known to have been carried out."""
+        self._again(self.sent)
+
+    def _again(self, keys: list[Key]) -> None:
+        newer = self.waiting
+        self.waiting = {key: self.out[key] for key in keys if key in self.out}
+        for key, order in newer.items():
+            if key[0] != "line":
+                self.waiting.pop(key, None)
+            self.waiting[key] = order
+        if self.mark < 0 and ("mark",) in keys:
+            self.mark = self.mark_out
+        self.out, self.sent, self.mark_out = {}, [], -1
--- /dev/null
+++ b/ironfall/platform/program.py
@@ -0,0 +1,190 @@
+"""`ironfall serve`: a director on the platform, in the foreground, until SIGTERM."""
+
+import gc
+import random
+import signal
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent.event import Event
+
+from ironfall.director import explain
+from ironfall.director.clock import Clock
+from ironfall.director.turns import BEAT, SECOND, Turns
+from ironfall.logic import Director
+from ironfall.platform import start
+from ironfall.platform.calls import Calls
+from ironfall.platform.entry import Entry
+from ironfall.platform.hosts import BadList, Hosts
+from ironfall.platform.lines import Reader
+from ironfall.platform.log import Log
+from ironfall.platform.news import News
+from ironfall.platform.outbox import Outbox
+from ironfall.platform.reports import Reports
+from ironfall.platform.streams import Streams
+from ironfall.platform.watch import Watch
+
+EVENTS_MOST = 20_000  # waiting for a turn
+READY_TIME = 4.0  # seconds after which it serves by the list it was given, if neither list nor news came
+SUMMARY = 10 * SECOND
+
+
+class Platform:
+    """The exit of the turns, and what feeds them."""
+
+    def __init__(self, assignment: start.Assignment, log: Any,
+                 monotonic: Callable[[], float] = time.monotonic) -> None:  # fmt: skip
+        told, service = assignment, assignment.service
+        self.assignment, self.log = assignment, log
+        self.chance = random.Random(told.seed + 1)  # of jitter alone: the module's is its own
+        self.outbox, self.reports, self.hosts = Outbox(told.classes), Reports(), Hosts(told.zones)
+        self.turns = Turns(service, told.seed, Clock(monotonic), Director, log, self, self.reports, EVENTS_MOST)
+        count, now = self.turns.count, self.turns.clock.now
+        self.streams = Streams(self, now)
+        proof_time = min(0.5, service.slowest_message / SECOND)
+        self.calls = Calls(told.relay, self.outbox, proof_time, self.chance, log, count)
+        self.news = News(told.relay, self.streams, told.zones, service.proxies, self.chance, log, count)
+        self.watch = Watch(told.discovery, self.hosts, now, self._listed, self.chance, log, count)
+        reader = Reader(told.zones, told.classes, service.proxies, service.gauges)
+        self.entry = Entry(told.listen, reader, self.reports, lambda host: host in self.hosts.held,
+                           told.sockets // 4, log, count)  # fmt: skip
+        self.done, self.fresh = Event(), Event()
+        self.summed = 0
+        self.broken = False
+
+    # life
+
+    def start(self) -> None:
+        self.entry.start()
+        if self.assignment.known is not None:
+            try:
+                if changes := self.watch.listing(self.assignment.known, False):
+                    self.turns.insist("listed", changes[0], True, False)
+            except BadList as wrong:
+                self.log.warning("the list of before the start can't be read", cause=str(wrong))
+        for run in (self.turns.run, self.calls.run, self.watch.run):
+            gevent.spawn(run).link_exception(self._broken)
+        self.news.start()
+        gevent.spawn(self._ready)
+
+    def _ready(self) -> None:
+        begun = time.monotonic()
+        self.fresh.wait(READY_TIME)
+        self.news.settled.wait(max(0.0, begun + READY_TIME - time.monotonic()))
+        self.entry.ready.set()
+        self.log.info("ready", seconds=round(time.monotonic() - begun, 3), hosts=len(self.hosts.held),
+                      proxies=len(self.streams.standing))  # fmt: skip
+
+    def stop(self) -> None:
+        self.done.set()
+
+    def _broken(self, greenlet: gevent.Greenlet) -> None:
+        # Better no director than one that no longer decides: proxies keep their tables or find another.
+        self.log.error("broken", cause=repr(greenlet.exception))
+        self.broken = True
+        self.done.set()
+
+    def reload(self) -> None:
+        """A new configuration: whole or not at all."""
+        try:
+            discovery, relay = start.reachable(start.read_file(self.assignment.path))
+        except start.Senseless as wrong:
+            self.log.error("the new configuration is not taken", cause=str(wrong))
+            return
+        if discovery != self.watch.client.address:
+            self.watch.moved(discovery)
+        if relay != self.calls.address:
+            self.calls.moved(relay)
+            self.news.moved(relay)
+        self.log.info("new configuration", discovery=discovery, relay=relay)
+
+    def _listed(self, entries: list[Any], whole: bool) -> None:
+        self.turns.insist("listed", entries, whole, True)
+        self.fresh.set()
+
+    # what the news tells
+
+    def joined(self, proxy: int, zone: int, rate: float) -> None:
+        self.turns.put("joined", proxy, zone, rate)
+
+    def left(self, proxy: int) -> None:
+        self.outbox.left(proxy)
+        self.reports.forget(proxy)
+        self.turns.put("left", proxy)
+
+    def applied(self, proxy: int, mark: int, latency: float) -> None:
+        self.calls.applied(mark)
+        self.turns.put("applied", mark)
+
+    # the exit of the turns
+
+    def set_line(self, table: int, host: bytes, weight: float) -> None:
+        self.outbox.line(table, host, weight)
+
+    def bind(self, proxy: int, table: int, classes: int) -> None:
+        if proxy in self.streams.standing:
+            self.outbox.bind(proxy, table, classes)
+
+    def withdraw(self, host: bytes, out: bool) -> None:
+        self.outbox.withdraw(host, out)
+        what = "withdraw" if out else "return"
+        self.log.info(what, host=host.decode(), **explain.withdrawal(self.turns.decisions, host, self.turns.at))
+
+    def admit(self, classes: int, level: float, tries: int) -> None:
+        self.outbox.admit(classes, level, tries)
+        self.log.info("admit", classes=classes, share=round(level, 3), tries=tries)
+
+    def probe(self, host: bytes) -> None: ...  # no probes are to be had here
+
+    def mark(self, version: int) -> None:
+        self.outbox.mark = version
+        self.streams.ordered(version)
+
+    def watch_list(self) -> None: ...  # it is watched all the time
+
+    def forget(self, host: bytes) -> None: ...  # nothing is kept here of who has left
+
+    def look(self, now: int) -> None:
+        if now - self.summed >= SUMMARY:
+            self.summed = now
+            turns, lengths = self.turns, self.turns.lengths
+            self.log.info(
+                "summary", hosts=len(self.hosts.held), proxies=len(self.streams.standing),
+                orders=len(self.outbox.waiting),
+                turns=lengths.get_total_count(), turn_ms=lengths.get_value_at_percentile(99) / 1000,
+                wait_ms=turns.waits.get_value_at_percentile(99) / 1000, call_ms=round(self.calls.longest * 1000, 1),
+                stalls=turns.clock.stalls, stayed=self.streams.stayed, returned=self.streams.returned,
+                counts=turns.counts,
+            )  # fmt: skip
+            self.calls.longest = 0.0
+
+    def close(self, now: int) -> None:
+        if self.outbox.waiting:
+            self.calls.stir.set()
+
+    def release(self, now: int) -> float:
+        return BEAT
+
+
+def main() -> int:
+    try:
+        assignment = start.read()
+    except start.Senseless as wrong:
+        print(f"ironfall serve: {wrong}", file=sys.stderr)
+        return 2
+    log = Log(assignment.name)
+    program = Platform(assignment, log)
+    gevent.signal_handler(signal.SIGTERM, program.stop)
+    gevent.signal_handler(signal.SIGINT, program.stop)
+    gevent.signal_handler(signal.SIGHUP, program.reload)
+    try:
+        program.start()
+    except OSError as cause:
+        print(f"ironfall serve: can't listen on {':'.join(map(str, assignment.listen))}: {cause}", file=sys.stderr)
+        return 1
+    gc.freeze()  # what was imported stays: no need to look at it each time
+    program.done.wait()
+    return 1 if program.broken else 0
--- /dev/null
+++ b/ironfall/platform/sockets.py
@@ -0,0 +1,42 @@
+"""Reads and dials with an end to each wait, which a director's own standstill does not use up."""
+
+import socket
+
+import gevent.socket
+
+CHUNK = 64 * 1024
+
+
+def dial(address: tuple[str, int], seconds: float) -> gevent.socket.socket:
+    sock = gevent.socket.create_connection(address, seconds)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+def read(sock: gevent.socket.socket, seconds: float) -> bytes:
+    """What comes next, b"" at the end; raises `TimeoutError` when nothing came in time."""
+    sock.settimeout(seconds)
+    try:
+        return bytes(sock.recv(CHUNK))
+    except TimeoutError:
+        # A process that was stopped finds its time up and the answer there: it was not the peer that was late.
+        return waiting(sock)
+
+
+def waiting(sock: gevent.socket.socket) -> bytes:
+    """What has come in already; raises `TimeoutError` where nothing has."""
+    try:
+        return bytes(sock._sock.recv(CHUNK, socket.MSG_DONTWAIT))
+    except BlockingIOError:
+        raise TimeoutError("nothing came in time") from None
+
+
+def ended(sock: gevent.socket.socket) -> bool:
+    """Whether the peer of an idle connection has closed it, or says what it was not asked for."""
+    try:
+        sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
--- /dev/null
+++ b/ironfall/platform/streams.py
@@ -0,0 +1,115 @@
+"""Who is joined, by what feeds of the relay's news tell. Pure.
+
+Each feed tells what stands first and then each change. Several feeds tell the same out of step: who speaks first is
+believed, and the others' same word is passed over. After a break of all, a proxy that stands with the very figures
+of its joining has stayed; one with others has been away, and is joined anew.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+SECOND = 10_000
+APART = 2 * SECOND  # how far two feeds may be out of step; what is told later is news again
+MARKS_MOST = 64  # whose confirmations are told apart
+WORDS_MOST = 16  # on one proxy that are remembered
+
+Fact = tuple[int, float, bool]  # zone, usual exchanges a second, cold
+
+
+class Into(Protocol):
+    def joined(self, proxy: int, zone: int, rate: float) -> None: ...
+    def left(self, proxy: int) -> None: ...
+    def applied(self, proxy: int, mark: int, latency: float) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Feed:
+    began: int  # the last word told by any feed when it was opened
+    fresh: bool = True  # tells what stands
+    seen: set[int] = field(default_factory=set)
+    at: dict[int, int] = field(default_factory=dict)  # by proxy, the last word that it has told
+
+
+class Streams:
+    def __init__(self, into: Into, now: Callable[[], int]) -> None:
+        self.into, self.now = into, now
+        self.standing: dict[int, Fact] = {}
+        self.words: dict[int, deque[tuple[int, int, str]]] = {}  # by proxy: number, time, what
+        self.last = 0
+        self.confirmed: OrderedDict[int, set[int]] = OrderedDict()
+        self.stayed = self.returned = 0  # in a list of what stands
+
+    def opened(self) -> Feed:
+        return Feed(self.last)
+
+    def attach(self, feed: Feed, proxy: int, fact: Fact) -> None:
+        if not feed.fresh or proxy in feed.seen:
+            self.settle(feed)
+            if not self._told(feed, proxy, "attach"):
+                self._join(proxy, fact)
+            return
+        feed.seen.add(proxy)
+        old = self.standing.get(proxy)
+        if old == fact:
+            self.stayed += 1
+            feed.at[proxy] = self.last
+        elif not self._told(feed, proxy, "attach"):
+            self.returned += old is not None
+            self._join(proxy, fact)
+
+    def detach(self, feed: Feed, proxy: int) -> None:
+        self.settle(feed)
+        if not self._told(feed, proxy, "detach"):
+            self._leave(proxy)
+
+    def done(self, feed: Feed, proxy: int, mark: int, latency: float) -> None:
+        self.settle(feed)
+        by = self.confirmed.get(mark)
+        if by is None:
+            by = self.confirmed[mark] = set()
+            while len(self.confirmed) > MARKS_MOST:
+                self.confirmed.popitem(last=False)
+        if proxy not in by and proxy in self.standing:
+            by.add(proxy)
+            self.into.applied(proxy, mark, latency)
+
+    def ordered(self, mark: int) -> None:
+        """A mark goes out: it may be a number used long ago."""
+        self.confirmed.pop(mark, None)
+
+    def settle(self, feed: Feed) -> None:
+        """All that stands has been told: who is missing has left."""
+        if not feed.fresh:
+            return
+        feed.fresh = False
+        for proxy in [p for p in self.standing if p not in feed.seen]:
+            if not self._told(feed, proxy, "detach"):
+                self._leave(proxy)
+        feed.seen = set()
+
+    def _told(self, feed: Feed, proxy: int, what: str) -> bool:
+        """Whether another feed has told this before; else it is noted for when others do."""
+        words = self.words.setdefault(proxy, deque(maxlen=WORDS_MOST))
+        since, after = self.now() - APART, feed.at.get(proxy, feed.began)
+        for number, time, word in words:
+            if number > after and time >= since:
+                if word == what:
+                    feed.at[proxy] = number
+                    return True
+                break
+        self.last += 1
+        words.append((self.last, self.now(), what))
+        feed.at[proxy] = self.last
+        return False
+
+    def _join(self, proxy: int, fact: Fact) -> None:
+        if proxy in self.standing:
+            self.into.left(proxy)
+        self.standing[proxy] = fact
+        self.into.joined(proxy, fact[0], fact[1])
+
+    def _leave(self, proxy: int) -> None:
+        if self.standing.pop(proxy, None) is not None:
+            self.into.left(proxy)
