Keep joined proxies bound over a new relay address, while one feed of news goes on

Ruled out by a probe that printed both: zone and rate are the same at the new relay; `cold` is not, it says what a proxy holds now. At fault: `Streams.attach`. Now what stands is no news while another feed has told all along; after a break of all feeds who is bound and holds nothing ordered is joined anew, who holds something has strayed.

--- a/ironfall/platform/news.py
+++ b/ironfall/platform/news.py
@@ -57,6 +57,7 @@
                     self.count("news broken")
                     self.log.info("news broken", cause=f"{type(cause).__name__}: {cause}")
                 finally:
+                    self.streams.lost(feed)
                     sock.close()
                 if not feed.fresh:
                     wait = WAIT_FIRST
@@ -73,6 +74,7 @@
             *whole, rest = (rest + data).split(b"\n")
             if len(rest) > LINE_MOST:
                 raise Unreadable(f"a line of over {LINE_MOST} bytes")
+            feed.heard = self.streams.now()
             for line in whole:
                 self.take(feed, line)
             if not feed.fresh and not self.settled.is_set():
--- a/ironfall/platform/program.py
+++ b/ironfall/platform/program.py
@@ -52,7 +52,7 @@
         self.entry = Entry(told.listen, reader, self.reports, lambda host: host in self.hosts.held,
                            told.sockets // 4, log, count)  # fmt: skip
         self.done, self.fresh = Event(), Event()
-        self.summed = 0
+        self.summed = self.turns.clock.now()
         self.broken = False
 
     # life
@@ -110,6 +110,9 @@
     def joined(self, proxy: int, zone: int, rate: float) -> None:
         self.turns.put("joined", proxy, zone, rate)
 
+    def strayed(self, proxy: int) -> None:
+        self.turns.put("strayed", proxy)
+
     def left(self, proxy: int) -> None:
         self.outbox.left(proxy)
         self.reports.forget(proxy)
@@ -127,6 +130,7 @@
     def bind(self, proxy: int, table: int, classes: int) -> None:
         if proxy in self.streams.standing:
             self.outbox.bind(proxy, table, classes)
+            self.streams.bound.add(proxy)
 
     def withdraw(self, host: bytes, out: bool) -> None:
         self.outbox.withdraw(host, out)
@@ -156,7 +160,7 @@
                 orders=len(self.outbox.waiting),
                 turns=lengths.get_total_count(), turn_ms=lengths.get_value_at_percentile(99) / 1000,
                 wait_ms=turns.waits.get_value_at_percentile(99) / 1000, call_ms=round(self.calls.longest * 1000, 1),
-                stalls=turns.clock.stalls, stayed=self.streams.stayed, returned=self.streams.returned,
+                stalls=turns.clock.stalls, gaps=self.streams.gaps,
                 counts=turns.counts,
             )  # fmt: skip
             self.calls.longest = 0.0
--- a/ironfall/platform/streams.py
+++ b/ironfall/platform/streams.py
@@ -1,8 +1,9 @@
 """Who is joined, by what feeds of the relay's news tell. Pure.
 
 Each feed tells what stands first and then each change. Several feeds tell the same out of step: who speaks first is
-believed, and the others' same word is passed over. After a break of all, a proxy that stands with the very figures
-of its joining has stayed; one with others has been away, and is joined anew.
+believed, and the others' same word is passed over. While one of them goes on, what another tells to stand is no news.
+After a break of all, who stands may have been away in between: who was bound and holds nothing ordered has started
+anew, and is joined anew; who holds something may hold another director's, and has strayed until it is bound again.
 """
 
 from collections import OrderedDict, deque
@@ -12,14 +13,16 @@
 
 SECOND = 10_000
 APART = 2 * SECOND  # how far two feeds may be out of step; what is told later is news again
+SILENT = SECOND * 3 // 2  # the relay says something every second
 MARKS_MOST = 64  # whose confirmations are told apart
 WORDS_MOST = 16  # on one proxy that are remembered
 
-Fact = tuple[int, float, bool]  # zone, usual exchanges a second, cold
+Fact = tuple[int, float, bool]  # zone, usual exchanges a second, cold: holds nothing ordered now
 
 
 class Into(Protocol):
     def joined(self, proxy: int, zone: int, rate: float) -> None: ...
+    def strayed(self, proxy: int) -> None: ...
     def left(self, proxy: int) -> None: ...
     def applied(self, proxy: int, mark: int, latency: float) -> None: ...
 
@@ -27,6 +30,7 @@
 @dataclass(slots=True, eq=False)
 class Feed:
     began: int  # the last word told by any feed when it was opened
+    heard: int  # when it last said something
     fresh: bool = True  # tells what stands
     seen: set[int] = field(default_factory=set)
     at: dict[int, int] = field(default_factory=dict)  # by proxy, the last word that it has told
@@ -35,14 +39,26 @@
 class Streams:
     def __init__(self, into: Into, now: Callable[[], int]) -> None:
         self.into, self.now = into, now
-        self.standing: dict[int, Fact] = {}
+        self.standing: set[int] = set()
+        self.bound: set[int] = set()  # by this director, since they joined
+        self.feeds: list[Feed] = []
         self.words: dict[int, deque[tuple[int, int, str]]] = {}  # by proxy: number, time, what
         self.last = 0
         self.confirmed: OrderedDict[int, set[int]] = OrderedDict()
-        self.stayed = self.returned = 0  # in a list of what stands
+        self.gaps = 0  # breaks of all feeds at once
 
     def opened(self) -> Feed:
-        return Feed(self.last)
+        feed = Feed(self.last, self.now())
+        self.feeds.append(feed)
+        return feed
+
+    def lost(self, feed: Feed) -> None:
+        self.feeds.remove(feed)
+
+    def _gap(self, feed: Feed) -> bool:
+        """Whether no other feed has told all along what this one has not."""
+        since = self.now() - SILENT
+        return not any(f is not feed and not f.fresh and f.heard >= since for f in self.feeds)
 
     def attach(self, feed: Feed, proxy: int, fact: Fact) -> None:
         if not feed.fresh or proxy in feed.seen:
@@ -51,13 +67,16 @@
                 self._join(proxy, fact)
             return
         feed.seen.add(proxy)
-        old = self.standing.get(proxy)
-        if old == fact:
-            self.stayed += 1
-            feed.at[proxy] = self.last
-        elif not self._told(feed, proxy, "attach"):
-            self.returned += old is not None
-            self._join(proxy, fact)
+        if proxy not in self.standing:
+            if not self._told(feed, proxy, "attach"):
+                self._join(proxy, fact)
+            return
+        feed.at[proxy] = self.last
+        if proxy in self.bound and self._gap(feed):
+            if fact[2]:
+                self._join(proxy, fact)
+            else:
+                self.into.strayed(proxy)
 
     def detach(self, feed: Feed, proxy: int) -> None:
         self.settle(feed)
@@ -83,6 +102,7 @@
         """All that stands has been told: who is missing has left."""
         if not feed.fresh:
             return
+        self.gaps += bool(self.standing) and self._gap(feed)
         feed.fresh = False
         for proxy in [p for p in self.standing if p not in feed.seen]:
             if not self._told(feed, proxy, "detach"):
@@ -106,10 +126,12 @@
 
     def _join(self, proxy: int, fact: Fact) -> None:
         if proxy in self.standing:
-            self.into.left(proxy)
-        self.standing[proxy] = fact
+            self._leave(proxy)
+        self.standing.add(proxy)
         self.into.joined(proxy, fact[0], fact[1])
 
     def _leave(self, proxy: int) -> None:
-        if self.standing.pop(proxy, None) is not None:
+        if proxy in self.standing:
+            self.standing.remove(proxy)
+            self.bound.discard(proxy)
             self.into.left(proxy)
