Take a way between zones for cut when most hosts behind it fail: it carries only feelers

At fault in `_spread`: evidence on each host fades over 4 s and so is half believed, and under strain the cap on home hosts fills up those that fail; `_judge` then withdrew 15 hosts for the way to them, just as it opened again. Now `_look_out` knows a cut way.

Ports are now found below those that the system gives out.

--- a/ironfall/lab/play.py
+++ b/ironfall/lab/play.py
@@ -1,5 +1,7 @@
 """The conductor: sets up a day's processes, brings its troubles at their times, and has it judged."""
 
+import contextlib
+import itertools
 import json
 import os
 import random
@@ -42,15 +44,17 @@
     return read_terms(str(path), path.read_text())
 
 
+PORTS = itertools.count(10_000)  # below those that the system gives out itself (32,768 and up on Linux)
+
+
 def free_ports(ip: str, count: int) -> list[int]:
-    """Ports that nobody listens on. Of an address that no other play uses: on 127.0.0.1 another's outgoing
-    connection may take a port between its being found here and its being listened on."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind((ip, 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
+    """Ports that nobody listens on, of an address that no other play uses, each found once: one that the system gave
+    out may be another listener's before it is listened on here."""
+    ports: list[int] = []
+    while len(ports) < count:
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((ip, next(PORTS)))
+            ports.append(sock.getsockname()[1])
     return ports
 
 
--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -22,6 +22,8 @@
 SMOOTH, STREAM = 30 * SECOND, 8 * SECOND  # the design's smoothing of latency; that of what comes and goes
 CLASS_FLOOR, FLOOR = 0.08, 0.25  # no class is shut out whole: the worst-served one counts too
 THIN = 0.03  # an away line's part of its strength where the solve begins
+CUT = 40  # tries in a row that failed at the hosts of a zone, and the way there is cut, not they
+FEELERS, FEEL = 3, 0.01  # the lines, and the part of a table each, that find out when it is open again
 MARKS = 65536  # marks are counted, under this
 
 Gauge = dict[str, float]
@@ -128,6 +130,9 @@
         self.crossing_price, self.strain = terms.crossing_price, 0.0
         # What a zone's proxies meet at the hosts of each: the share that fails, and how long the others take.
         self.ways = [[(Mean(), Mean()) for _ in range(terms.zones)] for _ in range(terms.zones)]
+        # By the same: what was tried at whom since anybody there answered, and the ways that are cut.
+        self.lost = [[Counter[bytes]() for _ in range(terms.zones)] for _ in range(terms.zones)]
+        self.cuts: set[tuple[int, int]] = set()
         self.grades = [self._grade(terms, c) for c in terms.classes]
         self.expected = sum(g.work for g in self.grades) / len(self.grades)  # of the mix that comes
         self.admits, self.let_in, self.least = terms.admits, 1.0, self.expected / 2
@@ -280,6 +285,10 @@
             if not it.out:
                 failing.add(failed / tries, tries)
         it.gauge(now, gauge)
+        if good > 0:
+            self.lost[zone][it.zone].clear()
+        else:
+            self.lost[zone][it.zone][host] += tries
         if good > 0 and cost > 0:
             it.answered = now
             it.flow += good * SECOND / STREAM
@@ -358,6 +367,7 @@
             proxy.rate *= stream
         self._drain(now)
         self._probe()
+        self._look_out(now)
         self._judge(now)
         self._bind(now)
         if self.ticks % 2 == 0:
@@ -373,10 +383,29 @@
         for n in range(first, int(self.turn)) if self.probes else ():
             self.orders.probe(ready[n % len(ready)].id)
 
+    def _look_out(self, now: int) -> None:
+        """Which ways are cut: most hosts of a zone, of three or more, answer none of another's proxies, whose
+        own serve them. Of fewer it can't be told whether it is they that fail."""
+        homes: list[list[bytes]] = [[] for _ in range(self.zones)]
+        for host in self._inside():
+            homes[host.zone].append(host.id)
+        cuts = set[tuple[int, int]]()
+        for zone, row in enumerate(self.lost):
+            if homes[zone] and self.ways[zone][zone][0].good() > 0.5:
+                tried = [[lost[h] for h in homes[y] if lost[h]] for y, lost in enumerate(row)]
+                cuts |= {(zone, y) for y, each in enumerate(tried) if y != zone and sum(each) >= CUT
+                         and len(each) > max(2, len(homes[y]) / 2)}  # fmt: skip
+        for zone, other in self.cuts - cuts:
+            self.ways[zone][other] = (Mean(), Mean())
+            for host in (h for h in self.hosts.values() if h.zone == other):
+                self._forget(now, host)
+        self.cuts = cuts
+
     def _judge(self, now: int) -> None:
         inside = self._inside()
-        tries = {h.id: sum(m.mass for m in h.failing) for h in inside}
-        bad = {h.id: sum(m.mass * m.value for m in h.failing) / max(6.0, tries[h.id]) for h in inside}
+        met = {h.id: [m for z, m in enumerate(h.failing) if (z, h.zone) not in self.cuts] for h in inside}
+        tries = {h.id: sum(m.mass for m in met[h.id]) for h in inside}
+        bad = {h.id: sum(m.mass * m.value for m in met[h.id]) / max(6.0, tries[h.id]) for h in inside}
         usual = sorted(bad.values())[len(bad) // 4] if bad else 0.0
         ready = [h for h in self.hosts.values() if h.ready]
         capacity = sum(h.share for h in ready)
@@ -397,7 +426,7 @@
                 continue
             # Late reports or a director's standstill are nobody's silence: the newest of all is the clock.
             overdue = (self.reported - host.answered - 1.5 * self.spacing) / SECOND
-            silent = bool(host.answered) and host.flow * overdue > 7
+            silent = bool(host.answered) and host.flow * overdue > 7 and len(met[host.id]) == self.zones
             failing = bad[host.id] > max(0.5, 2 * usual) and calm
             # Most of a fleet looking bad at once is load, late reports or a cut.
             if not (failing or silent) or lost + host.share > 0.5 * capacity:
@@ -490,6 +519,7 @@
             room = max(0.0, 3 * (self.crossing_price + values[zone] - best)) * max(0.0, 1 - self.strain) ** 2
             rooms.append(1.02 + room)
             ways = [1.0 if y == zone else THIN * (v / best) ** 3 for y, v in enumerate(values)]
+            ways = [0.0 if (zone, y) in self.cuts else way for y, way in enumerate(ways)]
             # What it fails now it will go on failing: a part of its line, for failures that come and go.
             row = [s * ways[h.zone] * h.failing[zone].good() ** 2 for s, h in pairs]
             if table >= self.zones:
@@ -505,12 +535,15 @@
             over = [x / s if s else 0.0 for x, s in zip(load, strength, strict=True)]
             for n, room in enumerate(rooms):
                 rows[n] = [w * room / x if x > room else w for w, x in zip(rows[n], over, strict=True)]
-        for row in rows:
+        for (_, zone, _), row in zip(streams, rows, strict=True):
             # None leans on a cold host, nor names one to carry little: that costs connections and lines.
             whole = sum(row) / (sum(strength) or 1.0)
             for n, (s, h) in enumerate(pairs):
                 row[n] = min(row[n], s * whole) if self._warm(now, h) < 1 else row[n]
                 row[n] *= row[n] >= 0.2 * s * whole
+            away = [n for n, (_, h) in enumerate(pairs) if (zone, h.zone) in self.cuts]
+            for n in sorted(away, key=lambda n: -inside[n].share)[:FEELERS]:
+                row[n] = FEEL * sum(row)
         return [(table, zone, row) for (table, zone, _), row in zip(streams, rows, strict=True)]
 
     def _lay(self, now: int, must: bool, back: Sequence[Host] = ()) -> None:
