--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -403,9 +403,8 @@
 
     def _judge(self, now: int) -> None:
         inside = self._inside()
-        met = {h.id: [m for z, m in enumerate(h.failing) if (z, h.zone) not in self.cuts] for h in inside}
-        tries = {h.id: sum(m.mass for m in met[h.id]) for h in inside}
-        bad = {h.id: sum(m.mass * m.value for m in met[h.id]) / max(6.0, tries[h.id]) for h in inside}
+        tries = {h.id: sum(m.mass for m in h.failing) for h in inside}
+        bad = {h.id: sum(m.mass * m.value for m in h.failing) / max(6.0, tries[h.id]) for h in inside}
         usual = sorted(bad.values())[len(bad) // 4] if bad else 0.0
         ready = [h for h in self.hosts.values() if h.ready]
         capacity = sum(h.share for h in ready)
@@ -426,7 +425,7 @@
                 continue
             # Late reports or a director's standstill are nobody's silence: the newest of all is the clock.
             overdue = (self.reported - host.answered - 1.5 * self.spacing) / SECOND
-            silent = bool(host.answered) and host.flow * overdue > 7 and len(met[host.id]) == self.zones
+            silent = bool(host.answered) and host.flow * overdue > 7
             failing = bad[host.id] > max(0.5, 2 * usual) and calm
             # Most of a fleet looking bad at once is load, late reports or a cut.
             if not (failing or silent) or lost + host.share > 0.5 * capacity:
