--- a/ironfall/platform/calls.py
+++ b/ironfall/platform/calls.py
@@ -6,11 +6,10 @@
 from collections.abc import Callable
 from typing import Any
 
-import gevent
 from gevent.event import Event
 
 from ironfall.platform.outbox import Outbox
-from ironfall.platform.sockets import dial, ended, read
+from ironfall.platform.sockets import Pauses, dial, ended, read
 from ironfall.platform.start import Address
 
 DIAL_TIME = 0.4
@@ -31,7 +30,8 @@
 class Calls:
     def __init__(self, address: Address, outbox: Outbox, proof_time: float, chance: random.Random, log: Any,
                  count: Callable[[str], None], unbound: Callable[[int], None]) -> None:  # fmt: skip
-        self.address, self.outbox, self.chance, self.log, self.count = address, outbox, chance, log, count
+        self.address, self.outbox, self.log, self.count = address, outbox, log, count
+        self.pauses = Pauses(WAIT_FIRST, WAIT_MOST, chance)
         self.unbound = unbound
         self.proof_time = proof_time  # how long a call that may have been carried out is given to show it
         self.stir, self.proved = Event(), Event()
@@ -42,12 +42,11 @@
         self.bad: set[str] = set()  # kinds of orders that the relay refused, each logged once
 
     def run(self) -> None:
-        wait = WAIT_FIRST
         while True:
             self.stir.wait()
             self.stir.clear()
             while orders := self.outbox.take():
-                wait = WAIT_FIRST if self._one(orders, wait) else min(WAIT_MOST, 2 * wait)
+                self._one(orders)
 
     def moved(self, address: Address) -> None:
         """The relay listens elsewhere: the next call goes there, the one that is out is answered where it was made."""
@@ -57,7 +56,7 @@
         if mark == self.outbox.mark_out:
             self.proved.set()
 
-    def _one(self, orders: list[str], wait: float) -> bool:
+    def _one(self, orders: list[str]) -> None:
         self.proved.clear()
         self.count("calls")
         try:
@@ -67,8 +66,8 @@
         except NotDone as cause:
             self.count(f"calls not done: {cause}")
             self.outbox.undone()
-            gevent.sleep(wait * (0.5 + self.chance.random()))
-            return False
+            self.pauses.take()
+            return
         except Uncertain as cause:
             self.count(f"calls uncertain: {cause}")
             self.close()
@@ -78,7 +77,9 @@
                 self.outbox.done(len(orders))
             else:
                 self.outbox.undone()
-            return True
+            self.pauses.over()
+            return
+        self.pauses.over()
         if bad := self.outbox.done(done):
             (kind, *about), order = bad
             self.count("orders refused")
@@ -87,7 +88,6 @@
                 self.log.warning("an order was refused", order=order)
             if kind == "bind":
                 self.unbound(about[0])
-        return True
 
     def _call(self, orders: list[str]) -> int:
         """How many of the orders were taken."""
--- a/ironfall/platform/hosts.py
+++ b/ironfall/platform/hosts.py
@@ -27,17 +27,17 @@
         self.held: dict[bytes, Held] = {}
         self.passed_over = 0  # entries that could not be read
 
-    def read(self, now: int, clock: float, told: Any, must: bool) -> tuple[int, bool, list[Listing]]:
-        """The version, whether it is the whole list, and what changed. `clock`: Unix time in ms.
+    def read(self, now: int, clock: float, told: Any) -> tuple[bool, list[Listing]]:
+        """Whether it is the whole list, and what changed. `clock`: Unix time in ms.
 
-        `must`: a list without a version is no list. An entry that can't be read leaves what is held of its host; of
-        a whole list that names somebody unreadable, nobody is taken to have left.
+        An entry that can't be read leaves what is held of its host; of a whole list that names
+        somebody unreadable, nobody is taken to have left.
         """
         try:
             rows, whole, version = told["members"], told["complete"] is True, told.get("revision", -1)
         except (KeyError, TypeError, AttributeError) as wrong:
             raise BadList(f"not a list: {type(wrong).__name__} {wrong}") from None
-        if not isinstance(rows, list) or not isinstance(version, int) or (must and version < 0):
+        if not isinstance(rows, list) or not isinstance(version, int):
             raise BadList("not a list: members, or the revision")
         found: dict[bytes, Listing] = {}
         for row in rows:
@@ -56,7 +56,7 @@
                 whole = False
         if whole:
             self.held = {name: held for name, held in self.held.items() if name in found}
-        return version, whole, list(found.values())
+        return whole, list(found.values())
 
     def _entry(self, now: int, clock: float, row: Any) -> tuple[bytes, Held | None]:
         name = row.get("id") if isinstance(row, dict) else None
--- a/ironfall/platform/news.py
+++ b/ironfall/platform/news.py
@@ -6,8 +6,9 @@
 from typing import Any
 
 import gevent
+from gevent.event import Event
 
-from ironfall.platform.sockets import dial, read
+from ironfall.platform.sockets import Pauses, dial, read
 from ironfall.platform.start import Address
 from ironfall.platform.streams import Feed, Streams
 
@@ -29,7 +30,7 @@
         self.address, self.streams, self.proxies = address, streams, proxies
         self.zones = {name: n for n, name in enumerate(zones)}
         self.chance, self.log, self.count = chance, log, count
-        self.settled = gevent.event.Event()
+        self.settled = Event()
         self.running: list[gevent.Greenlet] = []
         self.letting_go: list[gevent.Greenlet] = []
 
@@ -43,7 +44,7 @@
         self.start()
 
     def _run(self, address: Address) -> None:
-        wait = WAIT_FIRST
+        pauses = Pauses(WAIT_FIRST, WAIT_MOST, self.chance)
         while address == self.address:
             try:
                 sock = dial(address, DIAL_TIME)
@@ -60,11 +61,10 @@
                     self.streams.lost(feed)
                     sock.close()
                 if not feed.fresh:
-                    wait = WAIT_FIRST
+                    pauses.over()
             # Safe to ask again at any time: what stands is told anew. No end to it, for without news there is no
             # director.
-            gevent.sleep(wait * (0.5 + self.chance.random()))
-            wait = min(WAIT_MOST, 2 * wait)
+            pauses.take()
 
     def _read(self, sock: Any, feed: Feed) -> None:
         sock.settimeout(DIAL_TIME)
@@ -77,9 +77,10 @@
             feed.heard = self.streams.now()
             for line in whole:
                 self.take(feed, line)
-            if not feed.fresh and not self.settled.is_set():
-                self.settled.set()
-            if not feed.fresh and self.letting_go and gevent.getcurrent() in self.running:
+            if feed.fresh:
+                continue
+            self.settled.set()
+            if self.letting_go and gevent.getcurrent() in self.running:
                 gevent.killall(self.letting_go, block=False)
                 self.letting_go = []
         raise Unreadable("the end")
--- a/ironfall/platform/outbox.py
+++ b/ironfall/platform/outbox.py
@@ -22,9 +22,8 @@
     # what is ordered
 
     def line(self, table: int, host: bytes, weight: float) -> None:
-        # In its place, so that no binding to this table comes before the line.
         self._put(("line", table, host), {"verb": "SET", "cluster": table, "endpoint": host.decode(),
-                                          "w": float(f"{weight:.6g}")}, True)  # fmt: skip
+                                          "w": float(f"{weight:.6g}")})  # fmt: skip
 
     def bind(self, proxy: int, table: int, classes: int) -> None:
         order = {"verb": "USE", "node": proxy, "cluster": table, **self._routes(classes)}
@@ -47,10 +46,14 @@
         named = [name for k, name in enumerate(self.classes) if classes >> k & 1]
         return {"routes": named} if classes and len(named) < len(self.classes) else {}
 
-    def _put(self, key: Key, order: dict[str, Any], in_place: bool = False) -> None:
-        if not in_place:
+    def _put(self, key: Key, order: dict[str, Any]) -> None:
+        self._wait(key, json.dumps(order, separators=(",", ":")))
+
+    def _wait(self, key: Key, order: str) -> None:
+        # A line stays in its place, so that no binding to its table comes before it; all else goes to the end.
+        if key[0] != "line":
             self.waiting.pop(key, None)
-        self.waiting[key] = json.dumps(order, separators=(",", ":"))
+        self.waiting[key] = order
 
     # what becomes of it
 
@@ -91,9 +94,7 @@
         newer = self.waiting
         self.waiting = {key: self.out[key] for key in keys if key in self.out}
         for key, order in newer.items():
-            if key[0] != "line":
-                self.waiting.pop(key, None)
-            self.waiting[key] = order
+            self._wait(key, order)
         if self.mark < 0 and ("mark",) in keys:
             self.mark = self.mark_out
         self.out, self.sent, self.mark_out = {}, [], -1
--- a/ironfall/platform/program.py
+++ b/ironfall/platform/program.py
@@ -63,7 +63,7 @@
         self.entry.start()
         if self.assignment.known is not None:
             try:
-                if changes := self.watch.listing(self.assignment.known, False):
+                if changes := self.watch.listing(self.assignment.known):
                     self.turns.insist("listed", changes[0], True, False)
             except BadList as wrong:
                 self.log.warning("the list of before the start can't be read", cause=str(wrong))
--- a/ironfall/platform/sockets.py
+++ b/ironfall/platform/sockets.py
@@ -1,12 +1,29 @@
 """Reads and dials with an end to each wait, which a director's own standstill does not use up."""
 
+import random
 import socket
 
+import gevent
 import gevent.socket
 
 CHUNK = 64 * 1024
 
 
+class Pauses:
+    """Between tries of what fails: jittered, each twice the last up to a bound, and short again once it went well."""
+
+    def __init__(self, first: float, most: float, chance: random.Random) -> None:
+        self.first, self.most, self.chance = first, most, chance
+        self.next = first
+
+    def take(self) -> None:
+        gevent.sleep(self.next * (0.5 + self.chance.random()))
+        self.next = min(self.most, 2 * self.next)
+
+    def over(self) -> None:
+        self.next = self.first
+
+
 def dial(address: tuple[str, int], seconds: float) -> gevent.socket.socket:
     sock = gevent.socket.create_connection(address, seconds)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/ironfall/platform/watch.py
+++ b/ironfall/platform/watch.py
@@ -6,11 +6,10 @@
 from collections.abc import Callable
 from typing import Any
 
-import gevent
-
 from ironfall.api.http import HttpClient
 from ironfall.interface import Listing
 from ironfall.platform.hosts import BadList, Hosts
+from ironfall.platform.sockets import Pauses
 from ironfall.platform.start import Address
 
 WAIT = 1.0  # seconds that the agent may hold a call
@@ -23,19 +22,20 @@
 class Watch:
     def __init__(self, address: Address, hosts: Hosts, now: Callable[[], int], listed: Callable[..., None],
                  chance: random.Random, log: Any, count: Callable[..., None]) -> None:  # fmt: skip
-        self.address, self.hosts, self.now, self.listed = address, hosts, now, listed
+        self.hosts, self.now, self.listed = hosts, now, listed
         self.chance, self.log, self.count = chance, log, count
         self.version = -1  # of the newest list that was told here
         self.whole = False  # whether the agent has been asked for all of it
         self.client = HttpClient(address, DIAL_TIME, LIST_MOST)
 
     def run(self) -> None:
-        wait, failing = AGAIN_FIRST, False
+        pauses, failing = Pauses(AGAIN_FIRST, AGAIN_MOST, self.chance), False
         while True:
             client = self.client
             try:
                 self._ask(client)
-                wait, failing = AGAIN_FIRST, False
+                pauses.over()
+                failing = False
             except (OSError, BadList) as cause:
                 client.close()
                 self.count("list failures")
@@ -44,8 +44,7 @@
                     self.log.info("list failed", cause=f"{type(cause).__name__}: {cause}")
                 # Safe to ask again at any time: an answer names its version. No end to it, for without a list
                 # there is no director.
-                gevent.sleep(wait * (0.5 + self.chance.random()))
-                wait = min(AGAIN_MOST, 2 * wait)
+                pauses.take()
 
     def moved(self, address: Address) -> None:
         old, self.client = self.client, HttpClient(address, DIAL_TIME, LIST_MOST)
@@ -62,7 +61,7 @@
         except (ValueError, RecursionError) as wrong:
             raise BadList(f"not JSON: {wrong}") from None
         version = told.get("revision") if isinstance(told, dict) else None
-        if not isinstance(version, int):
+        if not isinstance(version, int) or version < 0:
             raise BadList("not a list: no revision")
         if version < self.version:
             self.count("older lists")
@@ -74,9 +73,9 @@
         if changes is not None:
             self.listed(*changes)
 
-    def listing(self, told: Any, must: bool = True) -> tuple[list[Listing], bool] | None:
+    def listing(self, told: Any) -> tuple[list[Listing], bool] | None:
         passed_over = self.hosts.passed_over
-        _, whole, found = self.hosts.read(self.now(), time.time() * 1000, told, must)
+        whole, found = self.hosts.read(self.now(), time.time() * 1000, told)
         if self.hosts.passed_over != passed_over:
             self.count("entries passed over", self.hosts.passed_over - passed_over)
         return (found, whole) if found or whole else None
--- a/tests/test_platform_parts.py
+++ b/tests/test_platform_parts.py
@@ -85,7 +85,7 @@
 
 
 def read(hosts, rows, whole=True, now=1_000_000, clock=9e6, version=1):
-    _, whole, found = hosts.read(now, clock, {"revision": version, "complete": whole, "members": rows}, True)
+    whole, found = hosts.read(now, clock, {"revision": version, "complete": whole, "members": rows})
     return whole, {e.host: e for e in found}
 
 
