Give each part of a large fleet its own small tables, so that joiners are bound within the grace

Cause: `Director._bind` sends a zone's whole table of 200 hosts to each of 1,500 proxies: harmless at 10 hosts and 6 proxies. Ruled out: calls undone or sent twice (counts: none but before the start), the belief below what waits (it was above on all but the one), slow turns of the untouched program (7 ms at the 99th percentile).

Change: the fleet is dealt into parts, each with a table a zone. Their number follows from the settings alone: what a message to each of all proxies may hold if all come to one director and fill its channel. With few proxies there is one part, as before. A withdrawal is booked where a table names the host (a probe counted 193 confirmations of 269), told by `ServiceTerms.told_all`; our own long-poll channel writes it to all. The book of what waits is kept by proxy (`applied` now says whose word it is): a small message confirmed no longer frees a large one's lines. And `_drain` ran anew at each confirmation, 9 ms each at 1,456 proxies (probe of slow turns: 971 confirmations, 3.64 s): now it waits until room came free.

--- a/ironfall/agreed.py
+++ b/ironfall/agreed.py
@@ -52,4 +52,5 @@
         probe_price=prices.get("Probe", 0.0),
         crossing_price=prices.get("CrossZone", 0.0),
         gauges=tuple(report.get("Columns") or ()),
+        told_all=False,
     )
--- a/ironfall/director/explain.py
+++ b/ironfall/director/explain.py
@@ -27,6 +27,15 @@
     }
 
 
+def channel(director: Any) -> dict[str, Any]:
+    """What the decisions take to wait in the channel, beside the most that may."""
+    if not isinstance(director, Director):
+        return {}
+    waits = round(sum(p.left for p in director.pushes))
+    return {"lines": waits, "lines_most": round(director.queue), "moments": len(director.moments),
+            "parts": director.parts}  # fmt: skip
+
+
 def admission(director: Any) -> dict[str, Any]:
     if not isinstance(director, Director):
         return {}
--- a/ironfall/director/live.py
+++ b/ironfall/director/live.py
@@ -151,13 +151,13 @@
 
     def applied(self, message: Message) -> None:
         """A proxy has confirmed a message."""
-        if message.mark >= 0 and self.put("applied", message.mark):
+        if message.mark >= 0 and self.put("applied", message.proxy, message.mark):
             self.applies.record_value(max(1, (self.clock.now() - message.ordered) * 100))
 
     def gone(self, message: Message) -> None:
         """A message that nobody will confirm takes up no more of the channel."""
         if message.mark >= 0:
-            self.put("applied", message.mark)
+            self.put("applied", message.proxy, message.mark)
 
     def stop(self) -> None:
         super().stop()
--- a/ironfall/drill/wire.py
+++ b/ironfall/drill/wire.py
@@ -154,7 +154,8 @@
             proxy, zone, rate, _fresh = ATTACHED.unpack_from(body, at + 3)
             director.joined(now, proxy, zone, rate)
         elif code == 28:
-            director.applied(now, int.from_bytes(body[at + 5 : at + 13], "big"))
+            proxy, version = int.from_bytes(body[at + 3 : at + 5], "big"), int.from_bytes(body[at + 5 : at + 13], "big")
+            director.applied(now, proxy, version)
         elif code == 30:
             director.left(int.from_bytes(body[at + 3 : at + 5], "big"))
         elif code == 21:
--- a/ironfall/interface.py
+++ b/ironfall/interface.py
@@ -50,6 +50,7 @@
     probe_price: float
     crossing_price: float
     gauges: tuple[str, ...]
+    told_all: bool = True  # a withdrawal is a line at each proxy, or only where its tables name the host
 
 
 class Sent(Protocol):
--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -7,9 +7,10 @@
 
 import math
 import random
-from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections import Counter, defaultdict
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
+from itertools import accumulate
 
 from ironfall.interface import ExchangeClass, Listing, Orders, ServiceTerms
 
@@ -51,6 +52,7 @@
     failing: list[Mean]  # the share of tries that fail, by proxy zone
     barred: list[int]  # by class, until when its lines in the tables of that class are taken out
     lines: list[float]  # by table, as last sent
+    part: int = 0  # of the fleet, whose tables alone name it
     ready: bool = True
     out: bool = False  # withdrawn from all tables
     mute: bool = False  # withdrawn for its silence
@@ -81,6 +83,8 @@
     joined: int
     rate: float
     tables: list[int]  # by class; -1 for what it came with
+    part: int = 0  # of the fleet, whose tables it is bound to
+    usual: float = 0.0  # exchanges a second, as it said when it joined
     strayed: bool = False  # it can't go on from what it holds
     resent: int = -LONGEST_WAIT  # when it was last sent all anew for that
 
@@ -105,8 +109,8 @@
 
     version: int
     at: int
-    lines: float = 0.0
-    messages: int = 0
+    lines: dict[int, float] = field(default_factory=dict)  # by proxy, of its message: the head too
+    left: float = 0.0  # all of them
 
 
 class Director:
@@ -124,9 +128,12 @@
         self.queue, self.head = terms.queue_limit, terms.message_head + 1
         self.limit, self.span = terms.message_limit, terms.message_span
         self.pushes: list[Push] = []
-        self.marks = 0
-        self.moments: list[int] = []  # when all or a zone's proxies were written to
-        self.reached = Counter[int]()  # by zone, proxies that have a message at this moment
+        self.moments: list[int] = []  # when all or a table's proxies were written to
+        # So many hosts a part has: a zone's are what its tables hold if all proxies come and fill the channel.
+        self.names = self.zones * max(1.0, 0.95 * self.queue / self.everyone - self.head - 2 - len(terms.classes))
+        # The fleet's parts have tables of their own. By zone and part: ready hosts, usual exchanges a second.
+        self.parts, self.able, self.told_all = 1, Counter[tuple[int, int]](), terms.told_all
+        self.dealt = defaultdict[tuple[int, int], float](float)
         self.crossing_price, self.strain = terms.crossing_price, 0.0
         # What a zone's proxies meet at the hosts of each: the share that fails, and how long the others take.
         self.ways = [[(Mean(), Mean()) for _ in range(terms.zones)] for _ in range(terms.zones)]
@@ -134,11 +141,12 @@
         self.lost = [[Counter[bytes]() for _ in range(terms.zones)] for _ in range(terms.zones)]
         self.cuts: set[tuple[int, int]] = set()
         self.grades = [self._grade(terms, c) for c in terms.classes]
+        self.each = self.zones * (1 + len(self.grades))  # tables of a part: all classes, each class apart
         self.expected = sum(g.work for g in self.grades) / len(self.grades)  # of the mix that comes
         self.admits, self.let_in, self.least = terms.admits, 1.0, self.expected / 2
         self.best, self.asked, self.others = 0.0, 0.0, 1.0
-        self.known = self.draining = False  # a list newer than that kept over the start; hosts still to go
-        self.started, self.reported, self.ticks = now, now, 0
+        self.known, self.draining = False, 0.0  # a list newer than that kept; room awaited, hosts still to go
+        self.started, self.reported, self.ticks, self.marks = now, now, 0, 0
         orders.wake(TICK, 0)
         if terms.ask_for_list:
             orders.watch_list()
@@ -153,14 +161,17 @@
     def listed(self, now: int, entries: Iterable[Listing], whole: bool, fresh: bool) -> None:
         """The list, whole or its changes; not fresh: as it was kept over the start."""
         entries = list(entries)
+        self.parts = self.parts if self.hosts else max(1, int(sum(e.ready for e in entries) / self.names))
         for host, zone, ready, weight, started in entries:
             it = self.hosts.get(host)
             if it and 0 < started < it.started:
                 continue  # a late word of a process that another has followed
             if it is None and ready:
-                lines, kinds = [0.0] * self.zones * (1 + len(self.grades)), [0] * len(self.grades)
+                lines, kinds = [0.0] * self.parts * self.each, [0] * len(self.grades)
                 failing, share = [Mean() for _ in range(self.zones)], weight if weight > 0 else 1.0
-                self.hosts[host] = Host(host, zone, started, share, failing, kinds, lines)
+                part = self._lightest([self.able[zone, p] for p in range(self.parts)])
+                self.able[zone, part] += 1
+                self.hosts[host] = Host(host, zone, started, share, failing, kinds, lines, part)
             elif it and ready and (not it.ready or started > it.started):
                 # A restarted process is cold: out at once, or eased where it is if the channel is full.
                 it.ready, it.started = True, max(started, it.started)
@@ -175,9 +186,15 @@
         for it in self.hosts.values() if whole else ():
             it.ready = it.ready and it.id in named
         self.known = self.known or fresh
+        self.able = Counter((h.zone, h.part) for h in self.hosts.values() if h.ready)
         self._drain(now)
         self._lay(now, not any(p.tables[0] >= 0 for p in self.proxies.values()))
 
+    def _lightest(self, loads: Sequence[float]) -> int:
+        # By chance where several are: what shares a part at one director is spread over all parts at another.
+        least = [n for n, load in enumerate(loads) if load == min(loads)]
+        return self.chance.choice(least) if len(least) > 1 else least[0]
+
     def list_failed(self) -> None:
         self.orders.wake(SECOND + self.chance.randrange(SECOND), 1)
 
@@ -186,51 +203,75 @@
         # not hold a lost zone at once all else waits, and it goes in few portions: in many, heads use it up.
         waits = (p.joined for p in self.proxies.values() if p.tables[0] < 0 and now - p.joined > self.hold)
         late, hosts = max(waits, default=-LONGEST_WAIT), self.hosts.values()
-        gone = [h for h in hosts if not h.ready and (not h.out or 0 < late - h.told < LONGEST_WAIT)]
-        each = max(1, len(self.proxies))
+        again = [h for h in hosts if not h.ready and h.out and 0 < late - h.told < LONGEST_WAIT]
+        # Of more than a table names, binding the joiners is the shorter word.
+        gone = [h for h in hosts if not h.ready and not h.out] + again * (len(again) <= self.names)
+        each, used = max(1, len(self.proxies)), self._users() if gone else {}
         fits, most = (int(x / each - self.head) for x in (self._room(now, 0.95), self.queue))
-        self.draining = len(gone) > fits
+        fits = sum(cost <= each * fits for cost in accumulate(len(self._holders(h, used)) for h in gone))
         for host in gone[:fits] if fits >= min(len(gone), self.head, most / 2) else ():
-            self._withdraw(now, host)
+            self._withdraw(now, host, used)
+        short = max(each * self.head, self._room(now, 0.95)) + each
+        self.draining = short if len(gone) > fits else 0.0
         # Evidence never empties the tables: with nothing left, all ready hosts come back.
-        if not self._inside():
-            self._return(now, [h for h in self.hosts.values() if h.ready])
+        inside = {h.part for h in self._inside()}
+        for part in (n for n in range(self.parts) if n not in inside):
+            self._return(now, [h for h in self.hosts.values() if h.ready and h.part == part])
 
-    def _withdraw(self, now: int, host: Host) -> None:
+    def _withdraw(self, now: int, host: Host, used: dict[int, list[int]] | None = None) -> None:
         host.out, host.told = True, now
-        self._pay(now)
+        self._pay(now, self._holders(host, used or self._users()))
         self.orders.withdraw(host.id, True)
 
+    def _users(self) -> dict[int, list[int]]:
+        """The proxies that use each table, and under -1 those that hold what they came with."""
+        used = defaultdict[int, list[int]](list)
+        for number, table in ((n, t) for n, p in self.proxies.items() for t in set(p.tables)):
+            used[table].append(number)
+        return used
+
+    def _holders(self, host: Host, used: dict[int, list[int]]) -> list[int]:
+        """Where a withdrawal is a line. What proxies came with isn't known: as much as a part's tables."""
+        named = [number for n, line in enumerate(host.lines) if line > 0 for number in used.get(n, ())]
+        named += [n for n in used.get(-1, ()) if (n + host.part) % self.parts == 0]
+        return list(dict.fromkeys(self.proxies if self.told_all else named))
+
     def _let_go(self, now: int) -> None:
         # Every host ever withdrawn would cost each binding a line, until none fits. Who is not bound may hold
         # a table of before the withdrawal.
         if any(min(p.tables) < 0 for p in self.proxies.values()):
             return
-        used = Counter(table for p in self.proxies.values() for table in set(p.tables))
+        used = self._users()
         for host in [h for h in self.hosts.values() if not h.ready and h.out and now - h.told > LONGEST_WAIT]:
             tables = [n for n, line in enumerate(host.lines) if line > 0]
-            if self._room(now, 0.45) < (1 + len(tables) + self.head) * len(self.proxies):
+            holders = self._holders(host, used)
+            if self._room(now, 0.45) < (2 + self.head) * len(holders):
                 return
             for table in tables:
-                self._pay(now, table % self.zones, used[table])
+                self._pay(now, used.get(table, ()))
                 self.orders.set_line(table, host.id, 0.0)
-            self._pay(now)
+            self._pay(now, holders)
             self.orders.withdraw(host.id, False)
             del self.hosts[host.id]
             self.orders.forget(host.id)
 
     def joined(self, now: int, proxy: int, zone: int, rate: float) -> None:
-        self.proxies[proxy] = Proxy(zone % self.zones, now, rate, [-1] * len(self.grades))
+        self.left(proxy)
+        zone %= self.zones
+        part = self._lightest([self.dealt[zone, p] / max(1, self.able[zone, p]) for p in range(self.parts)])
+        self.dealt[zone, part] += rate
+        self.proxies[proxy] = Proxy(zone, now, rate, [-1] * len(self.grades), part, rate)
 
     def left(self, proxy: int) -> None:
-        self.proxies.pop(proxy, None)
+        if it := self.proxies.pop(proxy, None):
+            self.dealt[it.zone, it.part] -= it.usual
 
-    def applied(self, now: int, version: int) -> None:
+    def applied(self, now: int, proxy: int, version: int) -> None:
         # The channel keeps the order: what was ordered before this has left it.
         for it in [p for p in self.pushes if p.version == version]:
             self.pushes = self.pushes[self.pushes.index(it) :]
-            it.lines, it.messages = it.lines * (1 - 1 / it.messages), max(1, it.messages - 1)
-        if self.draining:
+            it.left -= it.lines.pop(proxy, 0.0)
+        if 0 < self.draining <= self._room(now, 0.95):
             self._drain(now)
 
     def strayed(self, now: int, proxy: int) -> None:
@@ -243,30 +284,32 @@
         """Bind as many as the channel holds beside what cannot wait, those with the most traffic first."""
         # The traffic is their own word: who has waited for long goes before those who come again and again.
         due = {n for n, p in self.proxies.items() if min(p.tables) < 0 and now - p.joined > self.hold}
-        inside = self._inside()
-        more = self.head + 2 + sum(h.out for h in self.hosts.values()) + len(self.grades)
+        inside = self._by_part()
+        outs = Counter(-self.told_all or h.part for h in self.hosts.values() if h.out)
         for number, it in sorted(
             self.proxies.items(), key=lambda pair: (not pair[1].strayed, pair[0] not in due, -pair[1].rate)
         ):
-            wanted = [it.zone + self.zones * (1 + k) * (now < g.apart) for k, g in enumerate(self.grades)]
+            first = it.part * self.each + it.zone
+            wanted = [first + self.zones * (1 + k) * (now < g.apart) for k, g in enumerate(self.grades)]
             # Whoever strays without end takes neither the others' channel nor more messages than it may get.
             anew = it.strayed and now - it.resent >= self.span
             if (wanted == it.tables and not anew) or not (self.known or now - it.joined >= self.hold):
                 continue
+            hosts, more = inside[it.part], 2 + outs[it.part] + outs[-1] + len(self.grades)
             if anew:
                 # It hears of nothing until then: one message is left for it, and half of the queue.
-                whole = sum(more + sum(h.lines[t] > 0 for h in inside) for t in set(wanted))
+                whole = sum(self.head + more + sum(h.lines[t] > 0 for h in hosts) for t in set(wanted))
                 if self._room(now, 0.95) - 0.45 * self.queue < whole:
                     continue
                 it.strayed, it.resent, it.tables = False, now, [-1] * len(wanted)
             for table in dict.fromkeys(wanted):
                 kinds = [k for k, t in enumerate(wanted) if t == table != it.tables[k]]
-                lines = sum(h.lines[table] > 0 for h in inside)
+                lines = sum(h.lines[table] > 0 for h in hosts)
                 if not kinds or not lines:
                     continue
-                if not anew and self._room(now, 0.5, it.joined) < more + lines:
+                if not anew and self._room(now, 0.5, it.joined) < self.head + more + lines:
                     return
-                self._send(now, more + lines, 1)
+                self._pay(now, (number,), more + lines, False)
                 it.tables = [table if k in kinds else t for k, t in enumerate(it.tables)]
                 self.orders.bind(number, table, sum(1 << k for k in kinds))
 
@@ -446,6 +489,10 @@
         host.judged, host.answered = now, 0
         host.failing = [Mean() for _ in range(self.zones)]
 
+    def _by_part(self) -> list[list[Host]]:
+        inside = self._inside()
+        return [[h for h in inside if h.part == n] for n in range(self.parts)]
+
     def _inside(self) -> list[Host]:
         return [h for h in self.hosts.values() if h.ready and not h.out]
 
@@ -455,11 +502,12 @@
     def _return(self, now: int, hosts: Iterable[Host]) -> None:
         """Back into the tables, in portions: a line in each table, and one to end the withdrawal."""
         room = self._room(now, 0.75) / max(1, len(self.proxies)) - self.head
-        hosts = [h for h in hosts if h.out][: max(0, int(room / (1 + self.zones)))]
+        hosts = [h for h in hosts if h.out][: max(0, int(room * self.parts / (1 + self.zones)))]
+        used = self._users() if hosts else {}
         for host in hosts:
             host.out, host.eased = False, now
             self._forget(now, host)
-            self._pay(now)
+            self._pay(now, self._holders(host, used))
         if hosts:
             self._lay(now, True, hosts)
         for host in hosts:
@@ -498,18 +546,20 @@
         late = math.exp(-self.expected / took.value) if took.value else 0.0
         return failing.good() * (1 - late * took.mass / (took.mass + 1))
 
-    def _streams(self, now: int) -> list[tuple[int, int, float]]:
-        """What comes to each table in use: table, zone and work a second."""
+    def _streams(self, now: int, part: int) -> list[tuple[int, int, float]]:
+        """What comes to each of a part's tables in use: table, zone and work a second."""
         works = [g.asked * g.work / (self.asked * self.expected or 1.0) for g in self.grades]
         apart = [k for k, g in enumerate(self.grades) if now < g.apart]
-        parts = [(0, 1 - sum(works[k] for k in apart)), *((1 + k, works[k]) for k in apart)]
-        asked = [sum(p.rate for p in self.proxies.values() if p.zone == z) for z in range(self.zones)]
-        return [(z + self.zones * n, z, part * a) for n, part in parts for z, a in enumerate(asked)]
+        kinds = [(0, 1 - sum(works[k] for k in apart)), *((1 + k, works[k]) for k in apart)]
+        mine = [p for p in self.proxies.values() if p.part == part]
+        asked = [sum(p.rate for p in mine if p.zone == z) for z in range(self.zones)]
+        tables = [(part * self.each + self.zones * n, share) for n, share in kinds]
+        return [(table + z, z, share * a) for table, share in tables for z, a in enumerate(asked)]
 
-    def _spread(self, now: int, inside: list[Host]) -> list[tuple[int, int, list[float]]]:
+    def _spread(self, now: int, inside: list[Host], part: int) -> list[tuple[int, list[float]]]:
         """The tables: each host at its strength, home first, and none brought more than its zone's room."""
         strength = [self._strength(now, h) for h in inside]
-        streams, rows, rooms = self._streams(now), [], []
+        streams, rows, rooms = self._streams(now, part), [], []
         pairs = list(zip(strength, inside, strict=True))
         for table, zone, _ in streams:
             # Staying home is worth the crossing saved and what the way out loses, while home is not strained.
@@ -521,16 +571,15 @@
             ways = [0.0 if (zone, y) in self.cuts else way for y, way in enumerate(ways)]
             # What it fails now it will go on failing: a part of its line, for failures that come and go.
             row = [s * ways[h.zone] * h.failing[zone].good() ** 2 for s, h in pairs]
-            if table >= self.zones:
-                kind = table // self.zones - 1
-                row = [0.0 if h.barred[kind] > now else w for w, h in zip(row, inside, strict=True)]
+            if kind := table % self.each // self.zones:
+                row = [0.0 if h.barred[kind - 1] > now else w for w, h in zip(row, inside, strict=True)]
             rows.append(row if any(row) else list(strength))
         even = sum(d for _, _, d in streams) / (sum(strength) or 1.0) or 1.0
         for _ in range(12):
             load = [0.0] * len(inside)
             for (_, _, demand), row in zip(streams, rows, strict=True):
-                part = demand / (sum(row) or 1.0) / even
-                load = [x + part * w for x, w in zip(load, row, strict=True)]
+                each = demand / (sum(row) or 1.0) / even
+                load = [x + each * w for x, w in zip(load, row, strict=True)]
             over = [x / s if s else 0.0 for x, s in zip(load, strength, strict=True)]
             for n, room in enumerate(rooms):
                 rows[n] = [w * room / x if x > room else w for w, x in zip(rows[n], over, strict=True)]
@@ -543,14 +592,13 @@
             away = [n for n, (_, h) in enumerate(pairs) if (zone, h.zone) in self.cuts]
             for n in sorted(away, key=lambda n: -inside[n].share)[:FEELERS]:
                 row[n] = FEEL * sum(row)
-        return [(table, zone, row) for (table, zone, _), row in zip(streams, rows, strict=True)]
+        return [(table, row) for (table, _, _), row in zip(streams, rows, strict=True)]
 
     def _lay(self, now: int, must: bool, back: Sequence[Host] = ()) -> None:
         """Send what has moved, the largest moves first, as far as the channel holds it."""
-        inside = self._inside()
-        used = Counter(table for p in self.proxies.values() for table in set(p.tables))
-        for table, zone, row in self._spread(now, inside):
-            held, users = [0.0 if h in back else h.lines[table] for h in inside], used[table]
+        used, parts = self._users(), enumerate(self._by_part())
+        for inside, (table, row) in ((hosts, it) for n, hosts in parts for it in self._spread(now, hosts, n)):
+            held, users = [0.0 if h in back else h.lines[table] for h in inside], used.get(table, ())
             all_held, all_row = sum(held) or 1.0, sum(row) or 1.0
             trio = zip(inside, row, held, strict=True)
             gains = [abs(w / all_row - x / all_held) + 2 * (w == 0 < x) + 3 * (h in back) for h, w, x in trio]
@@ -560,7 +608,8 @@
             order = sorted(range(len(row)), key=lambda n: -gains[n])
             order = [n for n in order if gains[n] * all_row > 0.1 * row[n]]
             if users:
-                order = order[: max(len(back), int(self._room(now, part) / users - self.head))]
+                fits = int(self._room(now, part) / len(users) - self.head)
+                order = order[: max(sum(h in back for h in inside), fits)]
             # Weighed against what stays, so that half a table sent is right as far as it goes.
             rest = set(range(len(row))).difference(order)
             stay, want = sum(held[n] for n in rest), sum(row[n] for n in rest)
@@ -568,7 +617,7 @@
             for n in order:
                 if row[n] * scale != inside[n].lines[table]:
                     inside[n].lines[table] = row[n] * scale
-                    self._pay(now, zone, users)
+                    self._pay(now, users)
                     self.orders.set_line(table, inside[n].id, row[n] * scale)
 
     def _ration(self, now: int) -> None:
@@ -601,7 +650,7 @@
             moved = self.admits and (abs(level - grade.level) > 0.04 or level == 1 != grade.level)
             if (moved or way != grade.way) and self._room(now, 0.8) > (1 + self.head) * len(self.proxies):
                 grade.way, grade.level = way, level
-                self._pay(now)
+                self._pay(now, self.proxies)
                 self.orders.admit(1 << k, level, way)
 
     def _waiting(self, now: int, inside: list[Host], late: float) -> float:
@@ -622,25 +671,21 @@
             return 0.0
         # What is not acknowledged for that long was lost with its stream.
         self.pushes = [p for p in self.pushes if now - p.at < 10 * SECOND]
-        return part * self.queue - sum(p.lines for p in self.pushes)
+        return part * self.queue - sum(p.left for p in self.pushes)
 
-    def _pay(self, now: int, zone: int = -1, users: int = 0) -> None:
-        """Book one line for the users of a zone's table, or for all who joined."""
-        counts = {zone: users} if zone >= 0 else Counter(p.zone for p in self.proxies.values())
-        if any(counts.values()) and self.moments[-1:] != [now]:
+    def _pay(self, now: int, proxies: Collection[int], lines: float = 1.0, moment: bool = True) -> None:
+        """Book lines for each of some proxies, and a head for those that have no message at this moment."""
+        if not proxies:
+            return
+        if moment and self.moments[-1:] != [now]:
             self.moments.append(now)
-            self.reached.clear()
-        for z, count in counts.items():
-            heads = max(0, count - self.reached[z])
-            self.reached[z] += heads
-            self._send(now, count + heads * self.head, heads)
-
-    def _send(self, now: int, lines: float, messages: int) -> None:
-        if lines and (not self.pushes or self.pushes[-1].at != now):
+        if not self.pushes or self.pushes[-1].at != now:
             # Not the time, cut short: two moments 6.5536 s apart would free each other's room.
             self.marks = (self.marks + 1) % MARKS
             self.pushes.append(Push(self.marks, now))
             self.orders.mark(self.marks)
-        if lines:
-            self.pushes[-1].lines += lines
-            self.pushes[-1].messages += messages
+        push = self.pushes[-1]
+        for number in proxies:
+            more = lines if number in push.lines else lines + self.head
+            push.lines[number] = push.lines.get(number, 0.0) + more
+            push.left += more
--- a/tests/play.py
+++ b/tests/play.py
@@ -101,8 +101,8 @@
         self._order("probe", host)
 
     def mark(self, version: int) -> None:
-        for _ in range(3):  # one for each proxy, of which scenarios have no more
-            self._later(self.now + 2_000, ["applied", str(version)])
+        for proxy in range(4):  # scenarios have no more
+            self._later(self.now + 2_000, ["applied", str(proxy), str(version)])
 
     def watch_list(self) -> None:
         self._order("watch")
@@ -121,7 +121,7 @@
     elif what in ("list", "cached", "change"):
         director.listed(now, map(listing, rest), what != "change", what != "cached")
     elif what == "applied":
-        director.applied(now, int(rest[0]))
+        director.applied(now, int(rest[0]), int(rest[1]))
     elif what == "failed":
         director.list_failed()
     elif what == "join":
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,58 @@
+"""The decisions at full fleet: 200 hosts, all 1,500 proxies at one director. Each test is of a rule that broke there."""
+
+import random
+
+from tests.fleet import SECOND, Fleet, names, terms
+
+
+def crowd(fleet, proxies, hosts, seconds):
+    """All come within so many seconds, each with a table of a few hosts."""
+    chance, each = random.Random(7), round(proxies / (10 * seconds))
+    for first in range(0, proxies, each):
+        for proxy in range(first, min(proxies, first + each)):
+            fleet.join(proxy, chance.sample(hosts, 5))
+        fleet.close()
+        fleet.run(0.1)
+
+
+def test_all_proxies_come_to_one_director_and_are_bound_within_the_grace():
+    # A table of 200 hosts for each was 310,000 lines, a minute of the channel: who waited longer than the grace
+    # named hosts that had long gone.
+    fleet, hosts = Fleet(terms()), names(b"a", 200)
+    fleet.list(hosts)
+    fleet.run(2)
+    crowd(fleet, 1_500, hosts, 2)
+    fleet.run(9)
+    assert not fleet.unbound() and max(fleet.bound_after.values()) <= fleet.service.drain_grace
+    assert fleet.most_waiting <= fleet.service.queue_limit
+
+
+def test_every_proxy_has_a_table_of_enough_hosts_and_every_host_is_named():
+    fleet, hosts = Fleet(terms()), names(b"a", 200)
+    fleet.list(hosts)
+    crowd(fleet, 1_500, hosts, 2)
+    fleet.run(9)
+    used = {t: fleet.tables[t] for t in fleet.bound.values()}
+    assert set().union(*used.values()) == set(hosts)
+    assert all(6 <= len(t) <= 30 for t in used.values())
+
+
+def test_few_proxies_go_on_sharing_one_table_a_zone():
+    fleet, hosts = Fleet(terms(proxies=6)), names(b"a", 10)
+    fleet.list(hosts)
+    for proxy in range(6):
+        fleet.join(proxy, hosts[:5])
+    fleet.run(5)
+    assert len(set(fleet.bound.values())) == 2
+
+
+def test_confirmations_cost_no_decision_each_while_hosts_wait_to_drain():
+    # Each of 1,500 went through all hosts and proxies anew: 9 ms each, turns of 3.6 s, and the drains late.
+    fleet, hosts = Fleet(terms(queue_limit=12_000.0)), names(b"a", 200)
+    fleet.list(hosts)
+    crowd(fleet, 1_500, hosts, 2)
+    drains, tried = fleet.director._drain, []
+    fleet.director._drain = lambda now: tried.append(now) or drains(now)
+    fleet.list((), hosts[:60])
+    fleet.run(2)
+    assert len(tried) <= 5 + 2 * SECOND // 500
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -323,7 +323,7 @@
     director._withdraw(now, director.hosts[host("a")])
     director._withdraw(now + 65_536, director.hosts[host("b")])
     before = director._room(now + 65_536, 1.0)
-    director.applied(now + 65_536, marks[-2])
+    director.applied(now + 65_536, 1, marks[-2])
     freed = director._room(now + 65_536, 1.0) - before
     assert marks[-1] != marks[-2] and freed <= 2 * (2 + USUAL.message_head)
 
