Leave a part's tables uncut and let joiners take the freed channel before tables do

Cause: the cut of a part's table at the hosts reckoned for it left out one or two home hosts of each part, and what remained jammed.

--- a/ironfall/director/explain.py
+++ b/ironfall/director/explain.py
@@ -27,6 +27,12 @@
     }
 
 
+def leaves(director: Any, host: bytes) -> bool:
+    """Whether a line that goes does so because its host drains or is gone."""
+    it = director.hosts.get(host) if isinstance(director, Director) else None
+    return it is not None and not it.ready
+
+
 def channel(director: Any) -> dict[str, Any]:
     """What the decisions take to wait in the channel, beside the most that may."""
     if not isinstance(director, Director):
--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -119,9 +119,9 @@
         self.book = Book(self.head, self.span, 10 * SECOND, orders.mark)
         # What leaves until the next tick has heard of it: more only makes whatever comes after it wait.
         soon = terms.lines_each_second * (TICK + 2 * terms.slowest_message) / SECOND
-        self.soon, self.joiners = min(0.5 * self.queue, soon or self.queue), False
-        # So many hosts a part has: a zone's are what its table holds if all proxies come and fill the channel,
-        # but fewer than a message's head would save little.
+        self.soon, self.joiners = min(0.5 * self.queue, soon or self.queue), 0.0
+        # So many hosts a part has: a zone's are what its table holds if all proxies come and fill the
+        # channel, but fewer than a message's head would save little.
         whole = 0.95 * self.queue / self.everyone - self.head - 2 - len(terms.classes)
         self.names = math.inf if terms.told_all else self.zones * max(self.head, whole)
         # The fleet's parts have tables of their own. By zone and part: ready hosts, usual exchanges a second.
@@ -154,7 +154,7 @@
     def listed(self, now: int, entries: Iterable[Listing], whole: bool, fresh: bool) -> None:
         """The list, whole or its changes; not fresh: as it was kept over the start."""
         entries = list(entries)
-        self.parts = self.parts if self.hosts else max(1, int(sum(e.ready for e in entries) / self.names))
+        self.parts = self.parts if self.hosts else max(1, round(sum(e.ready for e in entries) / self.names))
         for host, zone, ready, weight, started in entries:
             it = self.hosts.get(host)
             if it and 0 < started < it.started:
@@ -219,7 +219,8 @@
         if self.parts == 1 or host.ready or host.out:
             self.orders.withdraw(host.id, True)
         # It will not be back: its lines go, and with them what each binding would pay for it.
-        for table in (n for n, line in enumerate(host.lines) if line > 0 and self.parts > 1 and not host.ready):
+        gone = self.parts > 1 and not host.ready
+        for table in (n for n, line in enumerate(host.lines) if gone and line > 0):
             host.lines[table] = 0.0
             self.orders.set_line(table, host.id, 0.0)
         host.out, host.told = True, now
@@ -288,7 +289,7 @@
         """Bind as many as the channel holds beside what cannot wait, those with the most traffic first."""
         # The traffic is their own word: who has waited for long goes before those who come again and again.
         due = {n for n, p in self.proxies.items() if min(p.tables) < 0 and now - p.joined > self.hold}
-        inside, self.joiners, short = self._by_part(), True, False
+        inside, self.joiners, short = self._by_part(), 1.0, False
         outs = Counter(-self.told_all or h.part for h in self.hosts.values() if h.out)
         for number, it in sorted(
             self.proxies.items(), key=lambda pair: (not pair[1].strayed, pair[0] not in due, -pair[1].rate)
@@ -320,7 +321,7 @@
                 self.book.pay(now, (number,), more + lines)
                 it.tables = [table if k in kinds else t for k, t in enumerate(it.tables)]
                 self.orders.bind(number, table, sum(1 << k for k in kinds))
-        self.joiners = short
+        self.joiners = short * (0.5 if self.parts > 1 else 1.0)
 
     def heard(self, now: int, zone: int, host: bytes, tries: int, failed: int, cost: int, covers: int,
               gauge: Gauge) -> None:
@@ -598,9 +599,6 @@
             for n, (s, h) in enumerate(pairs):
                 row[n] = min(row[n], s * whole) if self._warm(now, h) < 1 else row[n]
                 row[n] *= row[n] >= 0.2 * s * whole
-            if self.parts > 1 and row:
-                least = sorted(row, reverse=True)[: int(self.names / self.zones)]
-                row[:] = [w * (w >= least[-1]) for w in row]
             away = [n for n, (_, h) in enumerate(pairs) if (zone, h.zone) in self.cuts]
             for n in sorted(away, key=lambda n: -inside[n].share)[:FEELERS]:
                 row[n] = FEEL * sum(row)
@@ -680,5 +678,5 @@
         if self.book.most(now, messages, to) >= messages or (self.draining and part < 0.95):
             return 0.0
         # Who waits to be bound comes before all that can be put off.
-        most = min(part * self.queue, self.soon) if self.joiners and part < 0.95 else part * self.queue
-        return most - self.book.waits(now)
+        most = self.soon * self.joiners if self.joiners and part < 0.95 else self.queue
+        return min(part * self.queue, most) - self.book.waits(now)
--- a/ironfall/platform/program.py
+++ b/ironfall/platform/program.py
@@ -143,6 +143,8 @@
 
     def set_line(self, table: int, host: bytes, weight: float) -> None:
         self.outbox.line(table, host, weight)
+        if not weight and explain.leaves(self.turns.decisions, host):
+            self.log.info("drain", host=host.decode(), table=table)
 
     def bind(self, proxy: int, table: int, classes: int) -> None:
         if proxy in self.streams.standing:
