Let a proxy that has a message at this moment be written more in it

Bisected by commits and by switching parts of the change off one at a time: it is Book.most, which counted a proxy's messages against the limit although it had one at the moment already, so that after a drain or a level in a turn the tables stood still.

--- a/ironfall/book.py
+++ b/ironfall/book.py
@@ -72,9 +72,10 @@
         return sum(m.left for m in self.moments)
 
     def most(self, now: int, enough: float, proxies: Collection[int] | None = None) -> int:
-        """The most messages that one of some proxies, or of all, was written within the span before this moment.
+        """The most messages within the span to one of some proxies, or of all, that has none at this moment.
 
-        As many as the moments at the most: it is counted no further where these are fewer than enough.
+        Who has one may be written more in it. As many as the moments at the most: where these are fewer than enough,
+        it is counted no further.
         """
         while self.times and now - self.times[0] > self.span:
             self.times.popleft()
@@ -86,5 +87,6 @@
             times = self.written.get(proxy) or deque()
             while times and now - times[0] > self.span:
                 times.popleft()
-            found = max(found, len(times) - (bool(times) and times[-1] == now))
+            if times and times[-1] != now:
+                found = max(found, len(times))
         return found
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 import random
 
+from ironfall.book import Book
 from tests.fleet import SECOND, Fleet, names, terms
 
 
@@ -71,3 +72,28 @@
     assert fleet.most_written <= fleet.service.message_limit
 
 
+
+
+def test_a_proxy_that_has_a_message_at_this_moment_may_be_written_more_in_it():
+    # Counted as one more message, lines that cost none waited: on a day with a jam, tables stood still.
+    book = Book(7.0, 10 * SECOND, 10 * SECOND, lambda version: None)
+    for proxy in (1, 2):
+        book.joined(proxy)
+    for n in range(5):
+        book.pay(n, (1,))
+    book.pay(4, (2,))
+    assert book.most(4, 5, (1,)) == 0 and book.most(5, 5, (1,)) == 5
+    assert book.most(5, 5, (2,)) == 1 and book.most(5, 5) == 5
+    book.joined(1)
+    assert book.most(5, 5) == 1  # counted from its joining
+
+
+def test_a_small_message_confirmed_frees_its_own_lines_alone():
+    book = Book(7.0, 10 * SECOND, 10 * SECOND, lambda version: None)
+    book.pay(0, (1, 2))
+    book.pay(0, (2,), 200.0)
+    book.applied(1, 1)
+    assert book.waits(1) == 208
+    book.pay(2, (3,))
+    book.applied(3, 2)
+    assert book.waits(3) == 0  # the channel keeps the order
