--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,55 @@
+"""What a turn of the decisions costs at full fleet: all proxies come to one director within two seconds, and a quarter
+of the hosts is replaced. A model of the platform's channel and proxies (tests/fleet.py), no sockets.
+"""
+
+import random
+import statistics
+import time
+
+from tests.fleet import Fleet, names, terms
+
+
+def played(hosts, proxies, seconds=20):
+    fleet, listed, spent = Fleet(terms(proxies=proxies, queue_limit=24.0 * proxies)), names(b"a", hosts), []
+    chance = random.Random(7)
+    turn = [0.0]
+
+    def timed(call):
+        def run(*about):
+            begun = time.perf_counter()
+            call(*about)
+            turn[0] += time.perf_counter() - begun
+
+        return run
+
+    for name in ("woken", "listed", "joined", "applied", "heard", "arrived"):
+        setattr(fleet.director, name, timed(getattr(fleet.director, name)))
+    fleet.list(listed)
+    for step in range(seconds * 10):
+        if step < 20:
+            for proxy in range(step * proxies // 20, (step + 1) * proxies // 20):
+                fleet.join(proxy, chance.sample(listed, 5))
+        if step in (20, 26, 32, 38):
+            first = (step - 20) // 6 * (hosts // 16)
+            fleet.list(names(b"b", hosts)[first : first + hosts // 16], listed[first : first + hosts // 16])
+        for host in chance.sample(listed, 8):
+            fleet.director.heard(fleet.now, 0, host, 20, 1, 2_500, 20_000, {"q": 1.0, "lat_ms": 200.0})
+        fleet.close()
+        fleet.run(0.1)
+        spent.append(turn[0] * 1000)
+        turn[0] = 0.0
+    return spent, fleet
+
+
+def main():
+    for hosts, proxies in ((200, 1_600), (500, 1_600)):
+        spent, fleet = played(hosts, proxies)
+        busy = sorted(x for x in spent if x > 1)
+        print(f"{hosts} hosts, {proxies} proxies, {fleet.director.parts} parts: of {len(busy)} turns over 1 ms "
+              f"median {statistics.median(busy):.1f}, worst {busy[-1]:.1f} ms; "
+              f"all bound after {max(fleet.bound_after.values()) / 10_000:.1f} s, unbound {len(fleet.unbound())}, "
+              f"late {len(fleet.late)}, most waiting {fleet.most_waiting:.0f} of {fleet.service.queue_limit:.0f}")  # fmt: skip
+
+
+if __name__ == "__main__":
+    main()
