--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -48,7 +48,7 @@
         print(f"{hosts} hosts, {proxies} proxies, {fleet.director.parts} parts: of {len(busy)} turns over 1 ms "
               f"median {statistics.median(busy):.1f}, worst {busy[-1]:.1f} ms; "
               f"all bound after {max(fleet.bound_after.values()) / 10_000:.1f} s, unbound {len(fleet.unbound())}, "
-              f"late {len(fleet.late)}, most waiting {fleet.most_waiting:.0f} of {fleet.service.queue_limit:.0f}")  # fmt: skip
+              f"late {len(fleet.late)}, waiting {fleet.most_waiting:.0f} of {fleet.service.queue_limit:.0f}")  # fmt: skip
 
 
 if __name__ == "__main__":
