--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -45,10 +45,11 @@
     for hosts, proxies in ((200, 1_600), (500, 1_600)):
         spent, fleet = played(hosts, proxies)
         busy = sorted(x for x in spent if x > 1)
+        unbound = len(fleet.unbound())
         bound, limit = max(fleet.bound_after.values()) / 10_000, fleet.service.queue_limit
         print(f"{hosts} hosts, {proxies} proxies, {fleet.director.parts} parts: of {len(busy)} turns over 1 ms")
         print(f"  median {statistics.median(busy):.1f}, worst {busy[-1]:.1f} ms; last bound after {bound:.1f} s")
-        print(f"  unbound {len(fleet.unbound())}, late {len(fleet.late)}, most waiting {fleet.most_waiting:.0f} of {limit:.0f}")
+        print(f"  unbound {unbound}, late {len(fleet.late)}, {fleet.most_waiting:.0f} of {limit:.0f} lines")
 
 
 if __name__ == "__main__":
