Take nothing for lost that a slow channel may still hold

Book dropped what was unconfirmed after 10 s, though a channel behind its pace holds 33,940 lines longer (7.4 s at full pace). Now after three times what a full queue takes at its pace, 10 s at the least: small sites as before.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -116,7 +116,9 @@
         self.report_every, self.spacing = terms.report_every, float(terms.report_every)
         self.queue, self.head = terms.queue_limit, terms.message_head + 1
         self.limit, self.span = terms.message_limit, terms.message_span
-        self.book = Book(self.head, self.span, 10 * SECOND, orders.mark)
+        # A full channel at a third of its pace has sent it all by then: what is unconfirmed still was lost.
+        lost = 3 * self.queue / terms.lines_each_second if terms.lines_each_second else 0.0
+        self.book = Book(self.head, self.span, round(max(10.0, lost) * SECOND), orders.mark)
         # What leaves until the next tick has heard of it: more only makes whatever comes after it wait.
         soon = terms.lines_each_second * (TICK + 2 * terms.slowest_message) / SECOND
         self.soon, self.joiners = min(0.5 * self.queue, soon or self.queue), 0.0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -88,6 +88,14 @@
     assert book.most(5, 5) == 1  # counted from its joining
 
 
+def test_what_waits_in_a_slow_channel_is_not_taken_for_lost():
+    # After ten seconds it was, while the channel at half its pace still held it: 47,356 lines where 41,500 may.
+    fleet = Fleet(terms())
+    fleet.join(1)
+    fleet.director.book.pay(fleet.now, (1,), 30_000.0)
+    assert fleet.director.book.waits(fleet.now + 15 * SECOND) > 30_000
+
+
 def test_a_small_message_confirmed_frees_its_own_lines_alone():
     book = Book(7.0, 10 * SECOND, 10 * SECOND, lambda version: None)
     book.pay(0, (1, 2))
