State once when a drain is a withdrawal, and ask the book what waits

From the reading of the whole change: the same condition stood in _withdraw and _holders, and the summary added up the book's lines by itself.

--- a/ironfall/director/explain.py
+++ b/ironfall/director/explain.py
@@ -33,12 +33,11 @@
     return it is not None and not it.ready
 
 
-def channel(director: Any) -> dict[str, Any]:
+def channel(director: Any, now: int) -> dict[str, Any]:
     """What the decisions take to wait in the channel, beside the most that may."""
     if not isinstance(director, Director):
         return {}
-    waits = round(sum(m.left for m in director.book.moments))
-    return {"lines": waits, "lines_most": round(director.queue), "parts": director.parts}
+    return {"lines": round(director.book.waits(now)), "lines_most": round(director.queue), "parts": director.parts}
 
 
 def admission(director: Any) -> dict[str, Any]:
--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -218,7 +218,7 @@
 
     def _withdraw(self, now: int, host: Host, used: dict[int, list[int]] | None = None) -> None:
         self.book.pay(now, self._holders(host, used or self._users()))
-        if self.parts == 1 or host.ready or host.out:
+        if self._called_out(host):
             self.orders.withdraw(host.id, True)
         # It will not be back: its lines go, and with them what each binding would pay for it.
         gone = self.parts > 1 and not host.ready
@@ -227,6 +227,9 @@
             self.orders.set_line(table, host.id, 0.0)
         host.out, host.told = True, now
 
+    def _called_out(self, host: Host) -> bool:  # to all, or its lines alone go from a part's tables
+        return self.parts == 1 or host.ready or host.out
+
     def _users(self) -> dict[int, list[int]]:
         """The proxies that use each table, and under -1 those that hold what they came with."""
         used = defaultdict[int, list[int]](list)
@@ -237,7 +240,7 @@
     def _holders(self, host: Host, used: dict[int, list[int]]) -> list[int]:
         """Where a withdrawal is a line. What proxies came with isn't known: as much as a part's tables."""
         named = [number for n, line in enumerate(host.lines) if line > 0 for number in used.get(n, ())]
-        if self.parts == 1 or host.ready or host.out:
+        if self._called_out(host):
             named += [n for n in used.get(-1, ()) if (n + host.part) % self.parts == 0]
         return list(dict.fromkeys(self.proxies if self.told_all else named))
 
--- a/ironfall/platform/program.py
+++ b/ironfall/platform/program.py
@@ -177,7 +177,7 @@
             turns, lengths = self.turns, self.turns.lengths
             self.log.info(
                 "summary", hosts=len(self.hosts.held), proxies=len(self.streams.standing),
-                orders=len(self.outbox.waiting), **explain.channel(turns.decisions),
+                orders=len(self.outbox.waiting), **explain.channel(turns.decisions, now),
                 turns=lengths.get_total_count(), turn_ms=lengths.get_value_at_percentile(99) / 1000,
                 wait_ms=turns.waits.get_value_at_percentile(99) / 1000, call_ms=round(self.calls.longest * 1000, 1),
                 stalls=turns.clock.stalls, gaps=self.streams.gaps,
