Take the registry's bad list from the api, so that files no longer imports director

Need: files/service.py raised and caught director.roster's BadList, the one import between packages that ran back up. Change: BadList stands in ironfall/api/registry.py, below both; director, files and tests name it there. Nothing else moves.

--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -15,10 +15,10 @@
 from ironfall.api import codec
 from ironfall.api.exchange import Link, address_of, read_gauges
 from ironfall.api.http import Answer, Bounds, Gone, HttpClient, HttpServer, Refused, Request
+from ironfall.api.registry import BadList
 from ironfall.director.clock import Clock
 from ironfall.director.intake import sane
 from ironfall.director.live import Live
-from ironfall.director.roster import BadList
 from ironfall.director.sessions import Full, Session, due
 from ironfall.director.turns import Decide
 from ironfall.files.service import Files
--- a/ironfall/director/roster.py
+++ b/ironfall/director/roster.py
@@ -10,15 +10,12 @@
 from typing import Any
 
 from ironfall.api.exchange import address_of
+from ironfall.api.registry import BadList
 from ironfall.interface import Listing
 
 STARTS_MOST = 16  # of one host that are remembered
 
 
-class BadList(Exception):
-    """The registry's answer can't be taken; the text says where it is wrong. The list held stays."""
-
-
 @dataclass(slots=True)
 class Entry:
     host: str
--- a/ironfall/files/service.py
+++ b/ironfall/files/service.py
@@ -12,7 +12,7 @@
 from gevent import subprocess
 from gevent.threadpool import ThreadPool
 
-from ironfall.director.roster import BadList
+from ironfall.api.registry import BadList
 from ironfall.durable.disk import Folder
 from ironfall.files.checks import Allowed, check, difference
 from ironfall.files.merge import FREE, Merge, Misshapen
--- a/tests/test_files_live.py
+++ b/tests/test_files_live.py
@@ -11,8 +11,8 @@
 from click.testing import CliRunner
 
 from ironfall.api.http import HttpClient
+from ironfall.api.registry import BadList
 from ironfall.cli import main
-from ironfall.director.roster import BadList
 from ironfall.files.reader import read
 from ironfall.files.terms import FilesTerms
 from tests.rig import TERMS, Rig, until
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -8,10 +8,11 @@
 from hypothesis import strategies as st
 
 from ironfall.api import codec
+from ironfall.api.registry import BadList
 from ironfall.director.channel import Channel, Message
 from ironfall.director.clock import Clock
 from ironfall.director.intake import Intake, Met
-from ironfall.director.roster import BadList, Roster
+from ironfall.director.roster import Roster
 from ironfall.director.sessions import Full, Sessions
 from ironfall.generated import ironfall_pb2 as pb
 from ironfall.lab.clients import draw
