Read each section of the terms where its facts live, hooked in by one field of Terms

Need: terms/__init__.py read all words of all packages in 493 lines, and a new section would have been written there too. Change: ironfall/words.py holds the lists and values with units, below every package with a section. files/terms.py and metrics/terms.py read their own; terms/ has a module each for service, limits, proxy, figures (contradictions and `show`) and the whole.

--- a/ironfall/files/terms.py
+++ b/ironfall/files/terms.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass
 
+from ironfall import words
+from ironfall.words import Facts, Form
+
 
 @dataclass(frozen=True)
 class FilesTerms:
@@ -15,3 +18,20 @@
     read_time: int = 200_000
     remove: float = 0.3
     cold: float = 0.5
+
+
+def read_files(form: Form, facts: Facts) -> FilesTerms:
+    usual = FilesTerms()
+    terms = FilesTerms(
+        path=form.get("path", words.text, "") if form.node.parts else "",
+        store=form.get("store", words.text, ""),
+        settle=form.get("settle", words.time, usual.settle),
+        poll=form.get("poll", words.time, usual.poll),
+        most=form.get("most", words.size, usual.most),
+        read_time=form.get("read-time", words.time, usual.read_time),
+        remove=form.get("remove", words.part, usual.remove),
+        cold=form.get("cold", words.part, usual.cold),
+    )
+    if form.node.parts and not terms.path:
+        form.source.fault(form.node.at, '(files ...) needs (path "FILE")')
+    return terms
--- a/ironfall/metrics/terms.py
+++ b/ironfall/metrics/terms.py
@@ -2,7 +2,14 @@
 
 from dataclasses import dataclass, field
 
+from ironfall import words
+from ironfall.metrics.mapping import fault
+from ironfall.metrics.point import Malformed
+from ironfall.metrics.retention import archives
+from ironfall.words import GAUGES, Facts, Form
+
 Address = tuple[str, int]
+MUST = words.one_of("plain", "signed", "encrypted")
 
 
 @dataclass(frozen=True)
@@ -29,3 +36,53 @@
     rounds: str = ""  # a folder of round-robin files; none: none are kept
     keep: str = "1s:1h,10s:1d,1min:30d"
     series: int = 2_000  # round-robin files
+
+
+def read_metrics(form: Form, facts: Facts) -> MetricsTerms:
+    source, usual = form.source, MetricsTerms()
+    patterns = []
+    for node in form.all("reading"):
+        inner = Form(source, node)
+        scale = inner.get("scale", words.number, 1.0)
+        inner.done()
+        pattern, gauge = (node.parts[1].value, node.parts[2].word) if len(node.parts) >= 3 else ("", "")
+        if len(inner.values) != 2 or not isinstance(pattern, str) or gauge not in GAUGES:
+            source.fault(node.at, f'expected (reading "PATTERN" GAUGE), the gauge one of {", ".join(GAUGES)}')
+        elif fault(pattern):
+            source.fault(node.parts[1].at, fault(pattern))
+        elif GAUGES[gauge] not in facts.service.gauges:
+            source.fault(node.parts[2].at, f"this service's hosts have no gauge {gauge}; see (reports (gauges ...))")
+        else:
+            patterns.append((pattern, GAUGES[gauge], scale))
+    overflow, rounds = form.form("overflow", False), form.form("rounds", False)
+    graphite, collectd = form.form("graphite", False), form.form("collectd", False)
+    none = ("", 0)
+    terms = MetricsTerms(
+        prefix=form.get("prefix", words.text, usual.prefix),
+        every=form.get("every", words.time, usual.every),
+        graphite_to=graphite.get("send", words.address, none) if graphite.lists.get("send") else None,
+        graphite_listen=graphite.get("listen", words.address, none) if graphite.lists.get("listen") else None,
+        collectd_to=collectd.get("send", words.address, none) if collectd.lists.get("send") else None,
+        collectd_listen=collectd.get("listen", words.address, none) if collectd.lists.get("listen") else None,
+        must=collectd.get("must", MUST, "").replace("plain", ""),
+        user=collectd.get("user", words.text, ""),
+        key_file=collectd.get("key-file", words.text, ""),
+        readings=tuple(patterns),
+        late=form.get("late", words.time, usual.late),
+        ahead=form.get("ahead", words.time, usual.ahead),
+        connections=form.get("connections", words.count, usual.connections),
+        lines=form.get("lines", words.count, usual.lines),
+        spool=form.get("spool", words.count, usual.spool),
+        overflow=overflow.get("folder", words.text, ""),
+        overflow_most=overflow.get("most", words.size, usual.overflow_most),
+        rounds=rounds.get("folder", words.text, ""),
+        keep=rounds.get("keep", words.text, usual.keep),
+        series=rounds.get("series", words.count, usual.series),
+    )
+    try:
+        archives(terms.keep)
+    except Malformed as wrong:
+        source.fault(rounds.lists["keep"][0].at, str(wrong))
+    if terms.must and not (terms.user and terms.key_file):
+        source.fault(form.node.at, f"(must {terms.must}) needs (user ...) and (key-file ...)")
+    return terms
