--- /dev/null
+++ b/ironfall/lab/agreement_sim.py
@@ -0,0 +1,563 @@
+"""A group of keepers under a virtual clock: the program's own `Member`s, everything round them made up from a seed.
+
+Disks are slow, fail, lose what was not yet durable, are lost whole or come back older; the network delays, loses,
+repeats, cuts one way and parts; clocks drift; keepers die and come back; members are changed; askers retry. The judge
+looks at histories alone: what askers were told, and what each machine was given to apply.
+"""
+
+import heapq
+import json
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from ironfall.agreement import Bounds, Entry, Found, Member, Members, Outcome, identity
+
+SECOND = 10_000
+SMALL = Bounds(election=SECOND // 2, beat=SECOND // 10, disk=SECOND // 3, entry=256, batch=4, batch_bytes=400, flight=2,
+               asks=6, writes=64, log=30, log_bytes=4_000, tail=5, part=150, sessions=5, answers=2)  # fmt: skip
+
+
+class Wrong(Exception):
+    """Histories that can't be; the text begins with what must hold."""
+
+
+class List:
+    """The machine: what was applied, in order. An answer is the place; a read the length."""
+
+    def __init__(self, sim: "Sim", name: str) -> None:
+        self.sim, self.name, self.values = sim, name, list[str]()
+
+    def apply(self, index: int, entry: bytes) -> bytes:
+        self.values.append(entry.decode())
+        self.sim.applied(self.name, index, self.values)
+        return b"%d" % len(self.values)
+
+    def snapshot(self) -> bytes:
+        return json.dumps(self.values).encode()
+
+    def restore(self, snapshot: bytes) -> None:
+        self.values = json.loads(snapshot)
+        if self.values != self.sim.order[: len(self.values)]:
+            raise Wrong(f"prefix: {self.name} restored {self.values}, others applied {self.sim.order}")
+
+
+@dataclass
+class Disk:
+    """What is durable, and what is not yet: operations in order, each with its number."""
+
+    incarnation: int = 0
+    boots: int = 0
+    reign: int = 0
+    vote: str = ""
+    snapshot: bytes = b""
+    base: int = 0
+    entries: list[Entry] = field(default_factory=list)
+    first: Members = field(default_factory=Members)
+    pending: list[tuple[int, str, tuple[Any, ...]]] = field(default_factory=list)
+
+    def settle(self, count: int) -> int:
+        done = 0
+        for number, what, about in self.pending[:count]:
+            done = number
+            if what == "keep":
+                self.boots, self.reign, self.vote = about
+            elif what == "append":
+                index, entries = about
+                assert index <= self.base + len(self.entries) + 1, "a gap on the disk"
+                self.entries = self.entries[: index - self.base - 1] + entries
+            else:
+                self.base, self.snapshot, self.entries = about
+        del self.pending[:count]
+        return done
+
+    def crash(self, chance: random.Random) -> None:
+        """Some of what was under way is there, whole records up to a point: a torn one is cut at the next start."""
+        self.settle(chance.randint(0, len(self.pending)))
+        if self.pending and self.pending[0][1] == "append" and chance.random() < 0.5:
+            number, what, (index, entries) = self.pending[0]
+            self.pending[0] = (number, what, (index, entries[: chance.randint(0, len(entries))]))
+            self.settle(1)
+        self.pending = []
+
+    def copy(self) -> "Disk":
+        return Disk(self.incarnation, self.boots, self.reign, self.vote, self.snapshot, self.base, list(self.entries),
+                    self.first)  # fmt: skip
+
+
+class Keeper:
+    """One keeper over its lives, and the `Way` of its present member."""
+
+    def __init__(self, sim: "Sim", name: str, first: Members) -> None:
+        self.sim, self.name, self.disk = sim, name, Disk(first=first)
+        self.copies: list[Disk] = []
+        self.member: Any = None
+        self.life, self.alarm, self.syncing = 0, 0, False
+        self.slow = self.failing = 0  # until when
+        self.rate, self.offset = 1.0 + sim.chance.uniform(-0.05, 0.05), sim.chance.randrange(1_000_000)
+
+    @property
+    def identity(self) -> str:
+        return identity(self.name, str(self.disk.incarnation))
+
+    def start(self) -> None:
+        self.life += 1
+        d = self.disk
+        found = Found(d.boots, d.reign, d.vote, d.snapshot, list(d.entries), d.first)
+        self.syncing, self.failing = False, 0
+        self.sim.say(f"{self.identity} starts: {len(d.entries)} entries after {d.base}, reign {d.reign}")
+        machine = List(self.sim, self.name)
+        self.member = self.sim.member(self.identity, self.sim.bounds, self.sim.chance, self, machine, found)
+
+    def stop(self) -> None:
+        if self.member is not None:
+            self.sim.say(f"{self.identity} dies")
+            self.life += 1
+            self.member = None
+            self.disk.crash(self.sim.chance)
+
+    def lose(self) -> None:
+        self.disk = Disk(incarnation=self.sim.incarnation())
+
+    # the way
+
+    def now(self) -> int:
+        return self.offset + int(self.sim.now * self.rate)
+
+    def wake(self, wait: int) -> None:
+        self.alarm += 1
+        alarm, life = self.alarm, self.life
+
+        def ring() -> None:
+            if (alarm, life) == (self.alarm, self.life) and self.member is not None:
+                self.member.woken()
+
+        self.sim.after(max(1, int(wait / self.rate) + 1), ring)
+
+    def want_vote(self, to: str, *about: Any) -> None:
+        self.sim.send(self, to, "vote_wanted", about)
+
+    def vote(self, to: str, *about: Any) -> None:
+        self.sim.send(self, to, "voted", about)
+
+    def offer(self, to: str, *about: Any) -> None:
+        self.sim.send(self, to, "offered", about)
+
+    def took(self, to: str, *about: Any) -> None:
+        self.sim.send(self, to, "took", about)
+
+    def offer_part(self, to: str, *about: Any) -> None:
+        self.sim.send(self, to, "part_offered", about)
+
+    def took_part(self, to: str, *about: Any) -> None:
+        self.sim.send(self, to, "took_part", about)
+
+    def gone_back(self, to: str, *about: Any) -> None:
+        self.sim.send(self, to, "gone_back", about)
+
+    def keep(self, number: int, *about: Any) -> None:
+        self._write(number, "keep", about)
+
+    def append(self, number: int, index: int, entries: Sequence[Entry]) -> None:
+        self._write(number, "append", (index, list(entries)))
+
+    def keep_snapshot(self, number: int, index: int, snapshot: bytes, entries: Sequence[Entry]) -> None:
+        self._write(number, "snapshot", (index, snapshot, list(entries)))
+
+    def _write(self, number: int, what: str, about: tuple[Any, ...]) -> None:
+        self.disk.pending.append((number, what, about))
+        if not self.syncing:
+            self._sync()
+
+    def _sync(self) -> None:
+        self.syncing, life, count, sim = True, self.life, len(self.disk.pending), self.sim
+        slow = self.slow > sim.now
+        # What comes in while a sync is under way waits for the next one.
+        wait = sim.chance.randint(SECOND // 10, SECOND) if slow else sim.chance.randint(1, 40)
+
+        def synced() -> None:
+            if life != self.life:
+                return
+            self.syncing = False
+            if self.failing:
+                sim.say(f"{self.identity}: the disk fails")
+                self.member.disk_failed("no space left")
+                sim.after(SECOND, lambda: life == self.life and self.again())  # type: ignore[func-returns-value]
+                return
+            number = self.disk.settle(max(count, 1))
+            if self.disk.pending:
+                self._sync()
+            self.member.kept(number)
+
+        sim.after(wait, synced)
+
+    def again(self) -> None:
+        self.stop()
+        self.start()
+
+    def forsake(self) -> None:
+        self.sim.counted["older disks seen"] += 1
+        life = self.life
+
+        def anew() -> None:
+            if life == self.life:
+                self.stop()
+                self.lose()
+                self.start()
+
+        self.sim.after(SECOND // 10, anew)
+
+    def answer(self, token: int, outcome: Outcome, answer: bytes) -> None:
+        value = len(self.member.machine.values) if outcome is Outcome.READ else 0
+        self.sim.answer(self.name, token, outcome, answer, value)
+
+    def say(self, what: str) -> None:
+        self.sim.say(what)
+
+
+@dataclass
+class Act:
+    """One thing asked, by its asker's own clock of events; `end` -1: never known."""
+
+    what: str
+    value: str
+    start: int
+    end: int = -1
+    result: int = 0
+
+
+class Asker:
+    def __init__(self, sim: "Sim", name: str) -> None:
+        self.sim, self.name = sim, name
+        self.session = self.number = 0
+        self.act: Act | None = None
+        self.token, self.target, self.done, self.tries = 0, "", 0, 0
+
+    def begin(self) -> None:
+        if self.sim.ending:
+            return
+        sim = self.sim
+        if not self.session:
+            self.act = Act("open", "", sim.tick())
+        elif sim.chance.random() < 0.35:
+            self.act = Act("read", "", sim.tick())
+        else:
+            self.number += 1
+            self.act = Act("append", f"{self.name}.{self.session}.{self.number}", sim.tick())
+        sim.acts.append(self.act)
+        self.tries = 0
+        self.send()
+
+    def send(self) -> None:
+        sim, act = self.sim, self.act
+        if act is None:
+            return
+        self.tries += 1
+        if act.what == "read":
+            act.start = sim.tick()  # a read that was not answered is another one
+        token = self.token = sim.token(self)
+        to = self.target or sim.chance.choice(sorted(sim.keepers))
+        self.target = ""
+        about = (token, self.session, self.number, act.value.encode()) if act.what == "append" else (token,)
+        sim.ask(to, {"append": "ask"}.get(act.what, act.what), about)
+        sim.after(sim.chance.randint(SECOND // 4, SECOND // 2), lambda: self.token == token and self.send())  # type: ignore[func-returns-value]
+
+    def answered(self, token: int, outcome: Outcome, answer: bytes, value: int) -> None:
+        sim, act = self.sim, self.act
+        if token != self.token or act is None:
+            return
+        if outcome in (Outcome.DONE, Outcome.READ):
+            act.end, act.result = sim.tick(), value if outcome is Outcome.READ else int(answer)
+            if act.what == "open":
+                self.session, self.number = act.result, 0
+            self.done += 1
+        elif outcome is Outcome.FORGOTTEN:
+            sim.counted["forgotten"] += 1
+            self.session = 0
+        else:
+            sim.counted[outcome.value] += 1
+            self.target = answer.decode().split("/")[0] if outcome is Outcome.AWAY else ""
+            self.token = 0
+            retry = self.token = -sim.token(self)
+            wait = sim.chance.randint(200, 3_000)
+            sim.after(wait, lambda: self.token == retry and self.send())  # type: ignore[func-returns-value]
+            return
+        self.token, self.act = 0, None
+        sim.after(sim.chance.randint(10, 2_000), self.begin)
+
+
+class Sim:
+    def __init__(self, seed: int, keepers: int = 3, askers: int = 3, length: int = 8 * SECOND, faults: float = 1.0,
+                 member: type[Member] = Member, bounds: Bounds = SMALL) -> None:  # fmt: skip
+        self.seed, self.chance, self.member, self.bounds = seed, random.Random(seed), member, bounds
+        self.now, self.events, self.count = 0, list[tuple[int, int, Callable[[], Any]]](), 0
+        self.told: list[str] = []
+        self.order: list[str] = []
+        self.at: dict[int, str] = {}
+        self.acts: list[Act] = []
+        self.ticks = self.tokens = self.incarnations = 0
+        self.asked: dict[int, Any] = {}
+        self.counted: dict[str, int] = dict.fromkeys(("forgotten", "older disks seen", *(o.value for o in Outcome)), 0)
+        self.cut: set[tuple[str, str]] = set()
+        self.loss, self.ending, self.length, self.faults = 0.0, False, length, faults
+        self.quiet = 0  # no fault before this
+        names = [f"k{n}" for n in range(keepers)]
+        first = Members(tuple(identity(n, "0") for n in names))
+        self.keepers = {n: Keeper(self, n, first) for n in names}
+        self.spare = Keeper(self, "spare", Members())
+        self.spare.disk.incarnation = self.incarnation()
+        self.wanted = set(names)
+        self.askers = [Asker(self, f"a{n}") for n in range(askers)]
+
+    # time, chance and words
+
+    def after(self, wait: int, what: Callable[[], Any]) -> None:
+        self.count += 1
+        heapq.heappush(self.events, (self.now + wait, self.count, what))
+
+    def tick(self) -> int:
+        self.ticks += 1
+        return self.ticks
+
+    def token(self, asker: Any) -> int:
+        self.tokens += 1
+        self.asked[self.tokens] = asker
+        return self.tokens
+
+    def incarnation(self) -> int:
+        self.incarnations += 1
+        return self.incarnations
+
+    def say(self, what: str) -> None:
+        self.told.append(f"{self.now / SECOND:8.4f} {what}")
+
+    # the network
+
+    def send(self, sender: Keeper, to: str, what: str, about: tuple[Any, ...]) -> None:
+        name, whom = to.split("/")[0], sender.identity
+        if (sender.name, name) in self.cut or self.chance.random() < self.loss:
+            return
+        for _ in range(2 if self.chance.random() < self.loss / 2 else 1):
+            wait = self.chance.randint(5, 100) if self.chance.random() > self.loss else self.chance.randint(100, 10_000)
+            self.after(wait, lambda: self._comes(name, to, whom, what, about))
+
+    def _comes(self, name: str, to: str, whom: str, what: str, about: tuple[Any, ...]) -> None:
+        keeper = self.keepers.get(name)
+        if keeper is not None and keeper.member is not None and keeper.identity == to:
+            getattr(keeper.member, what)(whom, *about)
+
+    def ask(self, name: str, what: str, about: tuple[Any, ...]) -> None:
+        def comes() -> None:
+            keeper = self.keepers.get(name)
+            if keeper is not None and keeper.member is not None:
+                getattr(keeper.member, what)(*about)
+
+        if self.chance.random() >= self.loss:
+            self.after(self.chance.randint(5, 100), comes)
+
+    def answer(self, name: str, token: int, outcome: Outcome, answer: bytes, value: int) -> None:
+        asker = self.asked.pop(token, None)
+        if asker is not None and self.chance.random() >= self.loss:
+            self.after(self.chance.randint(5, 100), lambda: asker.answered(token, outcome, answer, value))
+
+    # faults
+
+    def fault(self) -> None:
+        if self.ending:
+            return
+        self.after(int(self.chance.expovariate(self.faults) * SECOND / 3) + 1, self.fault)
+        if self.now < self.quiet:
+            return
+        chance, keeper = self.chance, self.chance.choice(sorted(self.keepers.values(), key=lambda k: k.name))
+        what = chance.choice(("dies", "dies", "slow", "fails", "one way", "parted", "lossy", "heals", "heals", "lost",
+                              "older", "copy", "members", "all die"))  # fmt: skip
+        wait = chance.randint(SECOND // 20, SECOND)
+        if what == "dies" and keeper.member is not None:
+            keeper.stop()
+            self.after(wait, lambda: keeper.member is None and keeper.start())  # type: ignore[func-returns-value]
+        elif what == "all die" and chance.random() < 0.3:
+            for each in sorted(self.keepers.values(), key=lambda k: k.name):
+                each.stop()
+                self.after(chance.randint(10, SECOND), lambda e=each: e.member is None and e.start())  # type: ignore[misc]
+        elif what == "slow":
+            keeper.slow = self.now + 2 * wait
+        elif what == "fails":
+            keeper.failing = 1
+        elif what == "one way":
+            self.cut.add((keeper.name, chance.choice(sorted(self.keepers))))
+        elif what == "parted":
+            names = sorted(self.keepers)
+            half = set(chance.sample(names, chance.randint(1, len(names) - 1)))
+            self.cut |= {(a, b) for a in names for b in names if (a in half) != (b in half)}
+        elif what == "lossy":
+            self.loss = chance.choice((0.0, 0.05, 0.2))
+        elif what == "heals":
+            self.cut, self.loss = set(), 0.0
+        elif what == "copy":
+            keeper.copies.append(keeper.disk.copy())
+        elif what == "members" and not self._spoilt():
+            self._swap()
+        elif what in ("lost", "older") and not self._spoilt() and self._whole():
+            self._spoil(keeper, what == "older")
+        else:
+            return
+        self.say(f"fault: {what} {keeper.name if what not in ('heals', 'members', 'all die') else ''}")
+
+    def _leader(self) -> Keeper | None:
+        led = [k for k in self.keepers.values() if k.member is not None and k.member.role == "leader"]
+        return max(led, key=lambda k: k.member.reign) if led else None
+
+    def _whole(self) -> bool:
+        """All are there, hold all that is agreed, and are heard: one more disk may go."""
+        leader = self._leader()
+        if leader is None or self.cut or self.loss or any(k.member is None for k in self.keepers.values()):
+            return False
+        peers = leader.member.peers
+        return len(peers) + 1 == len(self.keepers) and all(p.match >= leader.member.commit for p in peers.values())
+
+    def _spoilt(self) -> bool:
+        """Somebody's disk was lost and it is not yet a voter again, or a change of members is on its way."""
+        names = {k.identity for k in self.keepers.values()}
+        return any(k.member is not None and k.member.leader and set(k.member.members.voters) != names
+                   for k in self.keepers.values()) or self._leader() is None  # fmt: skip
+
+    def _spoil(self, keeper: Keeper, older: bool) -> None:
+        copies = [c for c in keeper.copies if c.incarnation == keeper.disk.incarnation]
+        if older and not copies:
+            return
+        self.quiet = self.now + 4 * SECOND
+        self.cut, self.loss = set(), 0.0
+        keeper.stop()
+        if older:
+            # Held against what it last answered for: a leader that heard it goes on through this.
+            if keeper is self._leader() or self._leader() is None:
+                keeper.start()
+                return
+            keeper.disk = self.chance.choice(copies).copy()
+        else:
+            keeper.lose()
+        self.after(self.chance.randint(100, SECOND), lambda: keeper.member is None and keeper.start())  # type: ignore[func-returns-value]
+
+    def _swap(self) -> None:
+        """The spare comes in the place of one, or one more comes, or goes."""
+        if "spare" in self.keepers:
+            if len(self.keepers) > 3:
+                self.wanted.discard("spare")
+        else:
+            self.keepers["spare"] = self.spare
+            self.wanted.add("spare")
+            if self.spare.member is None:
+                self.spare.start()
+
+    def operate(self) -> None:
+        """An operator who makes the members what they should be, one change at a time."""
+        self.after(SECOND // 5, self.operate)
+        leader = self._leader()
+        if leader is None:
+            return
+        held = set(leader.member.members.all)
+        want = {k.identity for n, k in self.keepers.items() if n in self.wanted}
+        for one in sorted(held - want):
+            leader.member.remove(self.token(self), one)
+            return
+        for one in sorted(want - held):
+            leader.member.add(self.token(self), one)
+            return
+        settled = leader.member.configs[-1][0] <= leader.member.commit
+        if settled and "spare" in self.keepers and "spare" not in self.wanted:
+            if leader.name != "spare":
+                self.spare.stop()
+                self.spare.lose()
+                del self.keepers["spare"]
+
+    def answered(self, *_about: Any) -> None:
+        pass  # the operator looks for itself
+
+    # running and judging
+
+    def applied(self, name: str, index: int, values: list[str]) -> None:
+        place, value = len(values) - 1, values[-1]
+        if self.at.setdefault(index, value) != value:
+            raise Wrong(f"agreed: {name} applied {value} at {index}, another {self.at[index]}")
+        if place < len(self.order):
+            if self.order[place] != value:
+                raise Wrong(f"prefix: {name} applied {value} in place {place + 1}, another {self.order[place]}")
+        else:
+            self.order.append(value)
+
+    def run(self) -> None:
+        for keeper in self.keepers.values():
+            keeper.start()
+        for asker in self.askers:
+            self.after(self.chance.randint(1, SECOND), asker.begin)
+        self.after(SECOND, self.operate)
+        if self.faults:
+            self.after(SECOND, self.fault)
+        self._until(self.length)
+        self.say("all heals")
+        self.cut, self.loss, self.quiet = set(), 0.0, 1 << 60
+        for keeper in self.keepers.values():
+            keeper.slow = 0
+            if keeper.member is None:
+                keeper.start()
+        self._until(self.length + 4 * SECOND)
+        self.ending = True
+        self._until(self.length + 6 * SECOND)
+        self.judge()
+
+    def _until(self, end: int) -> None:
+        while self.events and self.events[0][0] <= end:
+            self.now, _, what = heapq.heappop(self.events)
+            what()
+
+    def judge(self) -> None:
+        judge(self.acts, self.order)
+        leader = self._leader()
+        if leader is None:
+            raise Wrong("converges: no leader")
+        for asker in self.askers:
+            if asker.act is not None:
+                raise Wrong(f"converges: {asker.name} waits for {asker.act}")
+        for keeper in self.keepers.values():
+            if (values := keeper.member.machine.values) != self.order:
+                raise Wrong(f"converges: {keeper.name} applied {len(values)} of {len(self.order)}")
+
+
+def judge(acts: list[Act], order: list[str]) -> None:
+    """By histories alone: each confirmed append once, in its place, and all in an order that time allows."""
+    place = {value: n for n, value in enumerate(order, 1)}
+    if len(place) != len(order):
+        twice = next(v for v in order if order.count(v) > 1)
+        raise Wrong(f"once: {twice} took effect {order.count(twice)} times")
+    moments: list[tuple[int, int, Act, int]] = []
+    for act in acts:
+        if act.what == "append":
+            at = place.get(act.value, 0)
+            if act.end >= 0 and at != act.result:
+                raise Wrong(f"kept: {act.value} was confirmed in place {act.result}, and is in {at or 'none'}")
+            if not at:
+                continue
+        elif act.what == "read" and act.end >= 0:
+            at = act.result
+        else:
+            continue
+        moments.append((act.start, 0, act, at))
+        if act.end >= 0:
+            moments.append((act.end, 1, act, at))
+    most = 0
+    for _, ends, act, at in sorted(moments, key=lambda m: m[:2]):
+        if ends:
+            most = max(most, at)
+        elif at < most or act.what == "append" and at == most:
+            raise Wrong(f"order: {act.what} {act.value} is at {at}, and {most} had been seen before it began")
+
+
+def run(seed: int, **about: Any) -> tuple[Sim, str]:
+    """What was wrong; nothing if all holds."""
+    sim = Sim(seed, **about)
+    try:
+        sim.run()
+    except (Wrong, AssertionError) as wrong:
+        return sim, f"seed {seed}: {wrong or repr(wrong)}"
+    return sim, ""
