--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -1,13 +1,193 @@
-"""The agreement among keepers: simulated under seeds, explored in the small, and its parts one by one."""
+"""The agreement among keepers: explored in the small, simulated under seeds, and its parts one by one."""
 
-from ironfall.lab.agreement_sim import run
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ironfall.agreement import Bounds, Entry, Found, Log, Member, Members, Outcome, Sessions
+from ironfall.lab import agreement_model as model
+from ironfall.lab.agreement_sim import Act, List, Wrong, judge, run
+
+SMALL = [model.Small(asks=1, stands=1), model.Small(asks=0, stands=1, deaths=1, late=1),
+         model.Small(asks=0, stands=1, changes=2, way=model.LED)]  # fmt: skip
+
+
+@pytest.mark.parametrize("small", SMALL, ids=str)
+def test_everything_holds_in_every_state(small):
+    count, wrong, way = model.explore(model.Timeless, small, 5_000)
+    assert not wrong, (wrong, way)
+    assert count > 500
+
+
+@pytest.mark.parametrize("name", model.MUTANTS)
+def test_each_mutant_is_caught(name):
+    mutant, what, small = model.MUTANTS[name]
+    _, wrong, way = model.explore(mutant, small, 6_000)
+    assert wrong.startswith(f"{what}:") and way, wrong
+
+
+def test_long_ways_by_chance_hold():
+    small = model.Small(stands=6, asks=4, deaths=3, late=3, repeats=3, beats=3, reads=2, changes=1)
+    for seed in range(100):
+        wrong, way = model.wander(model.Timeless, small, seed, 80)
+        assert not wrong, (wrong, way)
 
 
 def test_histories_hold_under_seeds():
     confirmed = seen = 0
-    for seed in range(100):
+    for seed in range(120):
         sim, wrong = run(seed)
         assert not wrong, "\n".join([wrong, *sim.told])
         confirmed += sum(act.end >= 0 for act in sim.acts)
         seen += sim.counted["older disks seen"]
     assert confirmed > 5_000 and seen
+
+
+@pytest.mark.parametrize(("mutant", "what"), [(model.AppliesTwice, "once"), (model.ReadsAtOnce, "order"),
+                                              (model.CountsBeforeDurable, "")])  # fmt: skip
+def test_the_judge_of_histories_catches_mutants(mutant, what):
+    assert any(wrong and what in wrong for _, wrong in (run(seed, member=mutant) for seed in range(150)))
+
+
+@pytest.mark.parametrize(("acts", "order", "what"), [
+    ([Act("append", "x", 1, 2, 1)], [], "kept"),
+    ([Act("append", "x", 1, 2, 1)], ["x", "x"], "once"),
+    ([Act("append", "x", 1, 2, 2), Act("append", "y", 3, 4, 1)], ["y", "x"], "order"),
+    ([Act("append", "x", 1, 2, 1), Act("read", "", 3, 4, 0)], ["x"], "order"),
+    ([Act("read", "", 1, 2, 1), Act("append", "x", 3)], ["x"], "order"),
+    ([Act("read", "", 1, 2, 2), Act("read", "", 3, 4, 1), Act("append", "x", 0), Act("append", "y", 0)], ["x", "y"],
+     "order"),
+])  # fmt: skip
+def test_histories_that_cannot_be(acts, order, what):
+    with pytest.raises(Wrong, match=f"^{what}:"):
+        judge(acts, order)
+
+
+@given(st.lists(st.tuples(st.sampled_from("acr"), st.integers(1, 12)), max_size=30))
+@settings(max_examples=60, deadline=None)
+def test_the_log_is_a_list_with_a_base(acts):
+    log, plain, reign = Log(), [Entry(0, "begin")], 0
+    for act, n in acts:
+        if act == "a":
+            reign += n % 2
+            entries = [Entry(reign, "ask", n, k, b"x" * k) for k in range(n % 4)]
+            log.append(entries)
+            plain += entries
+        elif act == "c" and log.base < n <= log.last:
+            log.cut(n)
+            del plain[n:]
+        elif act == "r" and log.base <= n <= log.last:
+            log.rebase(n)
+        assert log.last == len(plain) - 1 and log.last_reign == plain[-1].reign
+        assert log.size == sum(e.size for e in plain[log.base + 1 :])
+        assert log.after(log.base, 3, 70) == plain[log.base + 1 :][:3][: max(1, len(log.after(log.base, 3, 70)))]
+        assert log.reign_at(log.base - 1) is None and log.reign_at(log.last + 1) is None
+
+
+def test_a_session_that_went_is_never_applied_again():
+    sessions, effects = Sessions(2, 2), []
+
+    def ask(session, number):
+        return sessions.apply(session, number, lambda: effects.append((session, number)) or b"%d" % number)
+
+    for index in (1, 2):
+        sessions.open(index)
+    assert [ask(1, 1), ask(1, 1), ask(1, 2), ask(1, 3)] == [b"1", b"1", b"2", b"3"]
+    assert ask(1, 1) is None and ask(1, 2) == b"2"  # two answers are kept
+    sessions.open(7)  # 2 was used longest ago
+    assert ask(2, 1) is None and ask(1, 4) == b"4"
+    restored = Sessions(2, 2)
+    restored.restore(sessions.plain())
+    assert restored.table == sessions.table and list(restored.table) == [7, 1]
+    assert effects == [(1, 1), (1, 2), (1, 3), (1, 4)]
+
+
+class Quiet:
+    """A way that remembers what it was told, and a clock to be set."""
+
+    def __init__(self):
+        self.time, self.calls = 0, []
+
+    def now(self):
+        return self.time
+
+    def __getattr__(self, what):
+        return lambda *about: self.calls.append((what, *about))
+
+    def all(self, what):
+        return [c[1:] for c in self.calls if c[0] == what]
+
+
+def alone(bounds=None, voters=("k0/a",), me="k0/a"):
+    way = Quiet()
+    sim = type("Applied", (), {"applied": lambda *_: None, "order": []})()
+    member = Member(me, bounds or Bounds(), random.Random(1), way, List(sim, me), Found(first=Members(voters)))
+    member.kept(member.written)
+    if me in voters and len(voters) == 1:
+        way.time += 30_000
+        member.woken()
+        member.kept(member.written)
+        member.kept(member.written)
+        assert member.role == "leader"
+    return member, way
+
+
+def test_bounds_have_answers():
+    member, way = alone(Bounds(asks=2, entry=3))
+    for token, entry in enumerate((b"abcd", b"a", b"b", b"c")):
+        member.ask(token, 1, token, entry)
+    assert way.all("answer") == [(0, Outcome.LARGE, b""), (3, Outcome.FULL, b"")]
+    member.kept(member.written)
+    assert [a[:2] for a in way.all("answer")[2:]] == [(1, Outcome.FORGOTTEN), (2, Outcome.FORGOTTEN)]  # no session
+
+
+@pytest.mark.parametrize("how", ["slow", "failed", "silent"])
+def test_a_leader_without_its_disk_or_quorum_steps_down_and_says_so(how):
+    member, way = alone()
+    if how == "silent":
+        member.add(8, "k1/a")
+        member.kept(member.written)
+        member.took("k1/a", 1 << 20, member.reign, 1, True, member.commit, member.commit)  # and so has a vote
+        assert member.members.voters == ("k0/a", "k1/a")
+    member.ask(9, 1, 1, b"x")
+    if how == "failed":
+        member.disk_failed("no space left")
+    else:
+        way.time += member.bounds.disk + 1 if how == "slow" else member.bounds.election
+        if how == "silent":
+            member.kept(member.written)
+        member.woken()
+    assert member.role == "follower" and (9, Outcome.DOUBT, b"") in way.all("answer")
+    assert any({"slow": "too long", "failed": "no space", "silent": "no quorum"}[how] in s for s, in way.all("say"))
+
+
+def test_one_with_a_blank_disk_neither_votes_nor_stands():
+    member, way = alone(voters=(), me="k9/b")
+    way.time += 100_000
+    member.woken()
+    member.vote_wanted("k0/a", 1 << 20, 5, False, 3, 4)
+    assert not way.all("vote") and not way.all("want_vote") and member.role == "follower"
+
+
+def test_a_vote_goes_out_when_it_is_durable():
+    member, way = alone(voters=("k0/a", "k1/a", "k2/a"))
+    member.vote_wanted("k1/a", 1 << 20, 1, False, 0, 0)
+    assert not way.all("vote")
+    member.kept(member.written)
+    assert way.all("vote") == [("k1/a", member.boots, 1, False, True)]
+    member.vote_wanted("k2/a", 1 << 20, 1, False, 0, 0)
+    assert way.all("vote")[1:] == [("k2/a", member.boots, 1, False, False)]
+
+
+def test_an_older_disk_is_seen_by_what_it_answered_for():
+    member, way = alone(voters=("k0/a", "k1/a", "k2/a"))
+    member.voted("k1/a", 4 << 20, 7, False, True)
+    for boots, gone in ((5 << 20, True), (3 << 20, False), (4 << 20 | 1, True)):
+        member.gone.clear()
+        way.calls.clear()
+        member.vote_wanted("k1/a", boots, 7, True, 0, 0)  # of reign 6: behind what it voted in
+        assert way.all("gone_back") == [("k1/a", boots)] and ("k1/a" in member.gone) == gone and not way.all("vote")
+    member.gone_back("k2/a", member.boots)
+    assert member.stale and way.all("forsake")
