--- a/ironfall/lab/agreement_model.py
+++ b/ironfall/lab/agreement_model.py
@@ -514,6 +514,7 @@
 LED_TWICE = ("m1 stands", "m2 < m1 vote_wanted", "m1 < m2 voted")  # then m1 leads reign 2
 LED_AGAIN = (*LED, *LED_TWICE, "m0 < m1 vote_wanted", "m0 stands", "m1 < m0 vote_wanted", "m2 < m0 vote_wanted",
              "m0 < m2 voted")  # and then m0 reign 3  # fmt: skip
+READABLE = (*AGREED, *LED_TWICE, "m2 < m1 offered", "m1 < m2 took", "m1 is asked")  # and m0 has not heard
 
 MUTANTS: dict[str, tuple[type[Member], str, Small]] = {
     "votes are not kept before they are answered": (VotesUnkept, "one vote", Small(stands=2, deaths=1, late=1, asks=0)),
@@ -523,7 +524,7 @@
     "counts what is not yet durable": (CountsBeforeDurable, "durable", Small(stands=1, asks=0, late=1)),
     "applies an ask twice": (AppliesTwice, "once", Small(stands=1, asks=2, way=LED)),
     "forgets its reign when it dies": (ForgetsReign, "one vote", Small(stands=2, deaths=1, asks=0)),
-    "reads without the round": (ReadsAtOnce, "read", Small(stands=2, asks=1, reads=1, way=AGREED + LED_TWICE)),
+    "reads without the round": (ReadsAtOnce, "read", Small(stands=2, asks=1, reads=1, way=READABLE)),
     "changes two members at once": (ChangesTwo, "one change", Small(stands=1, asks=0, changes=2, way=LED)),
     "takes entries that do not fit": (TakesMisfits, "matching",
                                       Small(stands=3, asks=0, way=(*LED, *LED_TWICE, "m2 < m1 offered"))),
