--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -69,7 +69,8 @@
     assert any(stopping(seed, model.ReadsAtOnce).startswith("order:") for seed in range(8, 60))
 
 
-@pytest.mark.parametrize(("mutant", "what"), [(model.AppliesTwice, "once"), (model.CountsBeforeDurable, "prefix|agreed")])
+@pytest.mark.parametrize(("mutant", "what"), [(model.AppliesTwice, "once:"),
+                                              (model.CountsBeforeDurable, "prefix:|agreed")])  # fmt: skip
 def test_the_judge_of_histories_catches_mutants(mutant, what):
     assert any(re.search(what, wrong) for _, wrong in (run(seed, member=mutant) for seed in range(60)))
 
