Give what peers answered for and what the disk is given modules of their own

Memory of boots and receipts, and the numbered writes, are told apart from it and can be read and tested alone; the explorer names each message once.

--- a/ironfall/agreement/member.py
+++ b/ironfall/agreement/member.py
@@ -1,22 +1,22 @@
 """One keeper's part in the agreement: follower, asking (pre-vote), candidate, leader.
 
-What it answers rests on what the disk has confirmed: `up` (its boot), `kept_reign`, `durable`. Writes are numbered and
+What it answers rests on what the disk has confirmed (`writes`), and nothing goes out before its boot is. Writes are
 confirmed in order, so that nothing is put off by name: at each confirmation what is owed is looked at anew.
 """
 
 import json
 import random
-from collections import OrderedDict, deque
+from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 from ironfall.agreement.log import Entry, Log
 from ironfall.agreement.members import Members, members_of
+from ironfall.agreement.memory import DRAWN, Memory, Word
 from ironfall.agreement.sessions import Sessions
 from ironfall.agreement.way import Bounds, Machine, Outcome, Way
+from ironfall.agreement.writes import Writes
 
-DRAWN = 20  # bits of a boot's number that are drawn: two boots of one count are a disk and its copy
 FOLLOWER, ASKING, CANDIDATE, LEADER = "follower", "asking", "candidate", "leader"
 
 
@@ -37,13 +37,6 @@
     first: Members = field(default_factory=Members)  # nobody: it waits to be added
 
 
-class Write(NamedTuple):
-    number: int
-    reign: int
-    last: int  # of the log, when this is durable; less when it was cut since
-    since: int
-
-
 @dataclass
 class Peer:
     next: int
@@ -55,14 +48,6 @@
     part: tuple[int, int] = (0, 0)  # index of the snapshot that it is being sent, bytes of it taken
 
 
-class Seen(NamedTuple):
-    """The most that a member has answered for: what its disk must hold if it is the same."""
-
-    boots: int
-    reign: int
-    last: int
-
-
 class Member:
     def __init__(self, me: str, bounds: Bounds, chance: random.Random, way: Way, machine: Machine,
                  found: Found) -> None:  # fmt: skip
@@ -83,8 +68,7 @@
         self.role, self.leader, self.heard = FOLLOWER, "", -bounds.election
         self.up = self.stale = False
         self.failed = ""
-        self.written, self.writes = 0, deque[Write]()
-        self.durable, self.kept_reign, self.matched = self.log.last, -1, 0
+        self.writes, self.matched = Writes(self.log.last), 0
         self.owed, self.vote_number = "", 0  # a vote given and not yet durable: to whom, by which write
         self.votes: set[str] = set()
         self.peers: dict[str, Peer] = {}
@@ -92,8 +76,7 @@
         self.waiting: dict[int, int] = {}  # index: token
         self.reads: deque[tuple[int, int, int]] = deque()  # beat, index, token
         self.coming: tuple[tuple[int, int], bytearray] = ((0, 0), bytearray())  # a snapshot: index and size, what came
-        self.seen: OrderedDict[str, Seen] = OrderedDict()
-        self.gone: OrderedDict[str, None] = OrderedDict()
+        self.memory = Memory(8 * bounds.members)
         self._keep()
         self._draw()
 
@@ -104,9 +87,7 @@
     # the disk
 
     def _number(self) -> int:
-        self.written += 1
-        self.writes.append(Write(self.written, self.reign, self.log.last, self.way.now()))
-        return self.written
+        return self.writes.add(self.reign, self.log.last, self.way.now())
 
     def _keep(self) -> None:
         self.way.keep(self._number(), self.boots, self.reign, self.vote)
@@ -122,8 +103,7 @@
     def _cut(self, index: int) -> None:
         assert index > self.commit, f"{self.me}: entry {index} was agreed, and is to be cut"
         self.log.cut(index)
-        self.durable = min(self.durable, index - 1)
-        self.writes = deque(w._replace(last=min(w.last, index - 1)) for w in self.writes)
+        self.writes.cut(index - 1)
         while self.configs[-1][0] >= index:
             self.configs.pop()
 
@@ -131,11 +111,9 @@
         """All writes up to `number` are durable."""
         if self.failed:
             return
-        while self.writes and self.writes[0].number <= number:
-            write = self.writes.popleft()
-            self.durable, self.kept_reign = max(self.durable, write.last), write.reign
-            self.up = True
-        if self.kept_reign != self.reign or not self.up:
+        self.writes.kept(number)
+        self.up = self.writes.reign >= 0
+        if self.writes.reign != self.reign:
             return
         if self.owed and not self._vote_waits():
             to, self.owed = self.owed, ""
@@ -149,7 +127,7 @@
             self._took(True, self.matched)
 
     def _vote_waits(self) -> bool:
-        return any(w.number <= self.vote_number for w in self.writes)
+        return not self.writes.done(self.vote_number)
 
     def disk_failed(self, why: str) -> None:
         """Nothing after the last `kept` is known to be there: it takes no more part until it is begun anew."""
@@ -158,7 +136,7 @@
         self.role, self.owed = FOLLOWER, ""
 
     def _stuck(self) -> bool:
-        return bool(self.writes) and self.way.now() - self.writes[0].since > self.bounds.disk
+        return self.writes.age(self.way.now()) > self.bounds.disk
 
     # reigns and roles
 
@@ -227,7 +205,7 @@
         self.role, self.leader, self.votes, self.matched = CANDIDATE, "", set(), 0
         self.reign, self.vote, self.owed = self.reign + 1, self.me, self.me
         self._keep()
-        self.vote_number = self.written
+        self.vote_number = self.writes.number
 
     def _ask_votes(self) -> None:
         if self.role != CANDIDATE:
@@ -241,40 +219,16 @@
 
     # what peers say of themselves
 
-    def _same(self, sender: str, boots: int, reign: int, index: int | None = None) -> bool:
-        """Is it the one that was heard before? One of an older disk has forgotten what it answered for.
-
-        `index`: what it says is durable there, where it says so.
-        """
-        if not self._part() or sender in self.gone:
-            if sender in self.gone and self._part():
-                self.way.gone_back(sender, boots)
-            return False
-        seen = self.seen.get(sender)
-        if seen is None or seen.boots == boots:
-            return True
-        if boots >> DRAWN > seen.boots >> DRAWN:
-            if reign > seen.reign or reign == seen.reign and (index is None or index >= seen.last):
-                if index is not None:
-                    self.seen[sender] = Seen(boots, seen.reign, seen.last)
-                return True
-        elif boots >> DRAWN < seen.boots >> DRAWN:
-            self.way.gone_back(sender, boots)  # late, or older: not to be told apart here, but by the sender
+    def _same(self, sender: str, boots: int, reign: int, durable: int | None = None) -> bool:
+        """Is it the one that was heard before? One of an older disk has forgotten what it answered for."""
+        if not self._part():
             return False
-        self.gone[sender] = None
-        while len(self.gone) > 8 * self.bounds.members:
-            self.gone.popitem(last=False)
-        self.way.say(f"{self.me}: {sender} came with an older disk, and counts no more until it is added anew")
-        self.way.gone_back(sender, boots)
-        return False
-
-    def _saw(self, sender: str, boots: int, reign: int, index: int) -> None:
-        seen = self.seen.pop(sender, Seen(boots, 0, 0))
-        if reign > seen.reign:
-            seen = Seen(boots, reign, index)
-        self.seen[sender] = Seen(boots, seen.reign, max(seen.last, index) if reign == seen.reign else seen.last)
-        while len(self.seen) > 8 * self.bounds.members:
-            self.seen.popitem(last=False)
+        word = self.memory.word(sender, boots, reign, durable)
+        if word is Word.GONE:
+            self.way.say(f"{self.me}: {sender} came with an older disk, and counts no more until it is added anew")
+        if word is not Word.SAME:
+            self.way.gone_back(sender, boots)
+        return word is Word.SAME
 
     def gone_back(self, sender: str, boots: int) -> None:
         """A peer has heard more of this member than its disk knows."""
@@ -301,7 +255,7 @@
         if not self.vote:
             self.vote = sender
             self._keep()
-            self.vote_number = self.written
+            self.vote_number = self.writes.number
             self._draw()
         self._give(sender)
 
@@ -322,7 +276,7 @@
                 self._follow(reign, "")
             return
         if not early:
-            self._saw(sender, boots, reign, 0)
+            self.memory.saw(sender, boots, reign, 0)
         if early and self.role == ASKING and reign == self.reign + 1:
             self.votes.add(sender)
             if self.members.quorum(self.votes):
@@ -385,7 +339,7 @@
         peer.heard, peer.beat = self.way.now(), max(peer.beat, beat)
         if fits:
             if index:
-                self._saw(sender, boots, reign, index)
+                self.memory.saw(sender, boots, reign, index)
             peer.match, peer.probing = max(peer.match, index), False
             peer.next = max(peer.next, index + 1)
             while peer.flight and peer.flight[0] <= index:
@@ -419,7 +373,7 @@
         self._readable()
 
     def _own(self) -> int:
-        return self.durable if self.kept_reign == self.reign else 0
+        return self.writes.durable if self.writes.reign == self.reign else 0
 
     def _settle(self) -> None:
         """Agreed is what a majority has durable, up to an entry of this reign."""
@@ -576,7 +530,7 @@
     def _took(self, fits: bool, index: int) -> None:
         if fits:
             index = min(index, self._own())
-        durable = self.durable if self.kept_reign == self.reign else -1
+        durable = self.writes.durable if self.writes.reign == self.reign else -1
         self.way.took(self.leader, self.boots, self.reign, self.beats, fits, index, durable)
 
     def part_offered(self, sender: str, boots: int, reign: int, beat: int, index: int, start: int, size: int,
@@ -655,9 +609,8 @@
         self.log.append(rest)
         self.configs += configs
         self.snapshot = snapshot
-        self.durable = min(self.durable, self.log.last) if keeps else 0
         if not keeps:
-            self.writes = deque(w._replace(last=0) for w in self.writes)
+            self.writes.cut(0)
         self.matched = max(self.matched, index)
         self._keep_snapshot()
 
--- /dev/null
+++ b/ironfall/agreement/writes.py
@@ -0,0 +1,42 @@
+"""What was given to the disk and is not yet confirmed: numbered, and confirmed in order."""
+
+from collections import deque
+from typing import NamedTuple
+
+
+class Write(NamedTuple):
+    number: int
+    reign: int
+    last: int  # of the log, when this is durable; less when it was cut since
+    since: int
+
+
+class Writes:
+    def __init__(self, durable: int) -> None:
+        self.number = 0
+        self.waiting: deque[Write] = deque()
+        self.durable, self.reign = durable, -1  # what is known to be on the disk: the last entry, the reign
+
+    def __len__(self) -> int:
+        return len(self.waiting)
+
+    def add(self, reign: int, last: int, now: int) -> int:
+        self.number += 1
+        self.waiting.append(Write(self.number, reign, last, now))
+        return self.number
+
+    def kept(self, number: int) -> None:
+        while self.waiting and self.waiting[0].number <= number:
+            write = self.waiting.popleft()
+            self.durable, self.reign = max(self.durable, write.last), write.reign
+
+    def cut(self, last: int) -> None:
+        """Entries after `last` are gone from the log: what confirms them from here on confirms less."""
+        self.durable = min(self.durable, last)
+        self.waiting = deque(w._replace(last=min(w.last, last)) for w in self.waiting)
+
+    def done(self, number: int) -> bool:
+        return not self.waiting or self.waiting[0].number > number
+
+    def age(self, now: int) -> int:
+        return now - self.waiting[0].since if self.waiting else 0
--- a/ironfall/lab/agreement_model.py
+++ b/ironfall/lab/agreement_model.py
@@ -100,7 +100,7 @@
 
     def _send(self, to: str, what: str, about: tuple[Any, ...]) -> None:
         if to in self.world.members:
-            self.world.network.add((self.me, to, what, about))
+            self.world.network[f"{to} < {self.me} {what} {about}"] = (self.me, to, what, about)
 
     def want_vote(self, to: str, *about: Any) -> None:
         self._voted(about[1], self.me)
@@ -177,7 +177,7 @@
     small: Small
     members: dict[str, Member] = field(default_factory=dict)
     posts: dict[str, Post] = field(default_factory=dict)
-    network: set[Message] = field(default_factory=set)
+    network: dict[str, Message] = field(default_factory=dict)  # by a name that says all of it
     stands: int = 0
     asks: int = 0
     deaths: int = 0
@@ -241,11 +241,10 @@
                 yield f"{name} is to be read", lambda w, n=name: _read(w, n)  # type: ignore[misc]
             if world.changes < small.changes:
                 yield f"{name} is to add one", lambda w, n=name: _change(w, n)  # type: ignore[misc]
-    for message in sorted(world.network, key=repr):
-        sender, to, what, about = message
-        yield f"{to} < {sender} {what} {about}", lambda w, m=message: _comes(w, m, False)  # type: ignore[misc]
+    for said in sorted(world.network):
+        yield said, lambda w, m=said: _comes(w, m, False)  # type: ignore[misc]
         if world.repeats < small.repeats:
-            yield f"{to} < {sender} {what} {about}, again", lambda w, m=message: _comes(w, m, True)  # type: ignore[misc]
+            yield f"{said}, again", lambda w, m=said: _comes(w, m, True)  # type: ignore[misc]
 
 
 def _flush(world: World, name: str) -> str:
@@ -292,12 +291,12 @@
     return name
 
 
-def _comes(world: World, message: Message, again: bool) -> str:
-    sender, to, what, about = message
+def _comes(world: World, said: str, again: bool) -> str:
+    sender, to, what, about = world.network[said]
     if again:
         world.repeats += 1
     else:
-        world.network.discard(message)
+        del world.network[said]
     getattr(world.members[to], what)(sender, *about)
     return to
 
@@ -318,7 +317,7 @@
 
 def prune(world: World) -> None:
     """What does nothing when it comes is left out: it can come at any time, or not at all."""
-    world.network = {m for m in world.network if not _idle(world, m)}
+    world.network = {said: m for said, m in world.network.items() if not _idle(world, m)}
 
 
 def _idle(world: World, message: Message) -> bool:
@@ -376,14 +375,14 @@
 
 def key_of(world: World) -> bytes:
     """All that can make a difference from here on."""
-    parts: list[Any] = [sorted(world.network, key=repr), world.stands, world.asks, world.deaths, world.late,
+    parts: list[Any] = [sorted(world.network), world.stands, world.asks, world.deaths, world.late,
                         world.repeats, world.beats, world.reads, world.changes, world.done, world.asked]  # fmt: skip
     for name, m in world.members.items():
         post = world.posts[name]
         peers = [(n, p.next, p.match, p.beat, p.probing, list(p.flight)) for n, p in m.peers.items()]
-        parts.append((m.role, m.leader, m.reign, m.vote, m.commit, m.log.entries, m.durable, m.kept_reign, m.matched,
-                      m.owed, sorted(m.votes), peers, m.first, m.beats, m.waiting, list(m.reads),
-                      sorted(m.seen.items()), m.up, post.boots, post.reign, post.given, post.entries,
+        parts.append((m.role, m.leader, m.reign, m.vote, m.commit, m.log.entries, m.writes.durable, m.writes.reign,
+                      m.matched, m.owed, sorted(m.votes), peers, m.first, m.beats, m.waiting, list(m.reads),
+                      sorted(m.memory.seen.items()), m.up, post.boots, post.reign, post.given, post.entries,
                       post.pending))  # fmt: skip
     return repr((parts, sorted(world.votes.items()), sorted(world.led.items()), sorted(world.agreed.items()))).encode()
 
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -148,12 +148,12 @@
     way = Quiet()
     sim = type("Applied", (), {"applied": lambda *_: None, "order": []})()
     member = Member(me, bounds or Bounds(), random.Random(1), way, List(sim, me), Found(first=Members(voters)))
-    member.kept(member.written)
+    member.kept(member.writes.number)
     if me in voters and len(voters) == 1:
         way.time += 30_000
         member.woken()
-        member.kept(member.written)
-        member.kept(member.written)
+        member.kept(member.writes.number)
+        member.kept(member.writes.number)
         assert member.role == "leader"
     return member, way
 
@@ -163,7 +163,7 @@
     for token, entry in enumerate((b"abcd", b"a", b"b", b"c")):
         member.ask(token, 1, token, entry)
     assert way.all("answer") == [(0, Outcome.LARGE, b""), (3, Outcome.FULL, b"")]
-    member.kept(member.written)
+    member.kept(member.writes.number)
     assert [a[:2] for a in way.all("answer")[2:]] == [(1, Outcome.FORGOTTEN), (2, Outcome.FORGOTTEN)]  # no session
 
 
@@ -172,7 +172,7 @@
     member, way = alone()
     if how == "silent":
         member.add(8, "k1/a")
-        member.kept(member.written)
+        member.kept(member.writes.number)
         member.took("k1/a", 1 << 20, member.reign, 1, True, member.commit, member.commit)  # and so has a vote
         assert member.members.voters == ("k0/a", "k1/a")
     member.ask(9, 1, 1, b"x")
@@ -181,7 +181,7 @@
     else:
         way.time += member.bounds.disk + 1 if how == "slow" else member.bounds.election
         if how == "silent":
-            member.kept(member.written)
+            member.kept(member.writes.number)
         member.woken()
     assert member.role == "follower" and (9, Outcome.DOUBT, b"") in way.all("answer")
     assert any({"slow": "too long", "failed": "no space", "silent": "no quorum"}[how] in s for s, in way.all("say"))
@@ -199,7 +199,7 @@
     member, way = alone(voters=("k0/a", "k1/a", "k2/a"))
     member.vote_wanted("k1/a", 1 << 20, 1, False, 0, 0)
     assert not way.all("vote")
-    member.kept(member.written)
+    member.kept(member.writes.number)
     assert way.all("vote") == [("k1/a", member.boots, 1, False, True)]
     member.vote_wanted("k2/a", 1 << 20, 1, False, 0, 0)
     assert way.all("vote")[1:] == [("k2/a", member.boots, 1, False, False)]
@@ -209,9 +209,10 @@
     member, way = alone(voters=("k0/a", "k1/a", "k2/a"))
     member.voted("k1/a", 4 << 20, 7, False, True)
     for boots, gone in ((5 << 20, True), (3 << 20, False), (4 << 20 | 1, True)):
-        member.gone.clear()
+        member.memory.gone.clear()
         way.calls.clear()
         member.vote_wanted("k1/a", boots, 7, True, 0, 0)  # of reign 6: behind what it voted in
-        assert way.all("gone_back") == [("k1/a", boots)] and ("k1/a" in member.gone) == gone and not way.all("vote")
+        assert way.all("gone_back") == [("k1/a", boots)] and not way.all("vote")
+        assert ("k1/a" in member.memory.gone) == gone
     member.gone_back("k2/a", member.boots)
     assert member.stale and way.all("forsake")
