--- a/ironfall/lab/agreement_model.py
+++ b/ironfall/lab/agreement_model.py
@@ -60,8 +60,11 @@
     def getrandbits(self, k: int) -> int:
         return 0
 
-    def __reduce__(self) -> Any:
-        return Even, ()
+    def __reduce__(self) -> str:
+        return "EVEN"  # one for all states: copying it took a quarter of the time
+
+
+EVEN = Even()
 
 
 class Timeless(Member):
@@ -197,7 +200,7 @@
         # A session is open from the start: its number 1 is that of the entry that the snapshot stands for.
         snapshot = json.dumps([1, 0, [voters, []], [[1, []]]]).encode() + b"\n[]"
         found = Found(post.boots, post.reign, post.given, snapshot, list(post.entries), Members())
-        self.members[name] = self.kind(name, Bounds(batch=self.small.batch), Even(), post, List(), found)
+        self.members[name] = self.kind(name, Bounds(batch=self.small.batch), EVEN, post, List(), found)
 
     def flush(self, name: str) -> None:
         post = self.posts[name]
