--- a/ironfall/agreement/member.py
+++ b/ironfall/agreement/member.py
@@ -109,7 +109,7 @@
 
     def kept(self, number: int) -> None:
         """All writes up to `number` are durable."""
-        if self.failed:
+        if self.failed or self.stale:
             return
         self.writes.kept(number)
         self.up = self.writes.reign >= 0
