--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -107,7 +107,8 @@
             log.rebase(n)
         assert log.last == len(plain) - 1 and log.last_reign == plain[-1].reign
         assert log.size == sum(e.size for e in plain[log.base + 1 :])
-        assert log.after(log.base, 3, 70) == plain[log.base + 1 :][:3][: max(1, len(log.after(log.base, 3, 70)))]
+        assert log.after(log.base, 3, 70) == plain[log.base + 1 :][:2]  # each of 32 to 34 bytes
+        assert log.after(log.base, 1, 70) == log.after(log.base, 3, 1) == plain[log.base + 1 :][:1]
         assert log.reign_at(log.base - 1) is None and log.reign_at(log.last + 1) is None
 
 
