--- a/ironfall/agreement/way.py
+++ b/ironfall/agreement/way.py
@@ -31,13 +31,18 @@
 
     def wake(self, wait: int) -> None: ...  # one alarm: a later call takes the place of the one before
 
-    # to a peer; `reign` and `boots` are the sender's
+    # to a peer; `boots` is the sender's, and so is `reign` but in early votes, which are of the reign that would follow
 
+    # `index` and `last`: the sender's last entry and its reign
     def want_vote(self, to: str, boots: int, reign: int, early: bool, index: int, last: int) -> None: ...
     def vote(self, to: str, boots: int, reign: int, early: bool, given: bool) -> None: ...
+    # `before` and `last`: the entry before these and its reign; `beat` comes back in the answer
     def offer(self, to: str, boots: int, reign: int, beat: int, before: int, last: int, entries: Sequence[Entry],
               commit: int) -> None: ...  # fmt: skip
+    # `fits`: durable here and alike up to `index`; else it may fit from there. `durable`: the last entry on the disk,
+    # alike or not; -1 while the reign is not there
     def took(self, to: str, boots: int, reign: int, beat: int, fits: bool, index: int, durable: int) -> None: ...
+    # of a snapshot of `size` bytes up to entry `index`, from byte `start`; the answer says how many bytes are there
     def offer_part(self, to: str, boots: int, reign: int, beat: int, index: int, start: int, size: int,
                    part: bytes) -> None: ...  # fmt: skip
     def took_part(self, to: str, boots: int, reign: int, beat: int, index: int, size: int) -> None: ...
