Cut what is let in again only once reports can speak of what came after the last cut

The jam was over at 19 s; reports told of answers of 1.7 s until 25 s and of 10 waiting at each host at 24 s. Reports covered 2.4 s of tries at 17.8 s and 6.4 at 33 s, in place of the period of 2 s, for 75 lines a second are let through. At fault: Director._ration, which took a step each second, on reports made before the step before.

Change: the next step down waits for twice what reports cover beyond their period. Where they come in time nothing waits.

--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -143,7 +143,7 @@
         self.admits, self.let_in, self.least = terms.admits, 1.0, self.expected / 2
         self.best, self.asked, self.others = 0.0, 0.0, 1.0
         self.known, self.draining = False, 0.0  # a list newer than that kept; room awaited, hosts still to go
-        self.started, self.reported, self.ticks = now, now, 0
+        self.started, self.reported, self.shut, self.ticks = now, now, 0, 0
         orders.wake(TICK, 0)
         if terms.ask_for_list:
             orders.watch_list()
@@ -289,8 +289,7 @@
 
     def strayed(self, now: int, proxy: int) -> None:
         """A proxy can't go on from what it holds, or says so: it is bound anew, with all there is."""
-        it = self.proxies.get(proxy)
-        if it:
+        if it := self.proxies.get(proxy):
             it.strayed = True
 
     def _bind(self, now: int) -> None:
@@ -390,8 +389,7 @@
 
     def held_between(self, host: bytes, floor: float, cap: float) -> None:
         """What its operators hold its learnt weight between; the same twice is a weight fixed by hand."""
-        it = self.hosts.get(host)
-        if it:
+        if it := self.hosts.get(host):
             it.floor, it.cap = floor, cap
             it.share = min(cap, max(floor, it.share))
 
@@ -651,9 +649,11 @@
         strength = sum(h.share for h in inside) or 1.0
         self.best = max(0.98 * self.best, sum(h.flow for h in inside) / strength)
         able = 0.85 * self.best * strength / (self.asked or 1.0)
-        if strain > 1:
+        if strain > 1 and now - self.shut > 2 * (self.spacing - self.report_every):
+            # Reports that wait for their turn go on telling of the jam that the last step was made for.
             self.let_in = max(min(self.let_in, able), self.let_in * max(0.6, 1.15 - 0.15 * strain), FLOOR)
-        else:
+            self.shut = now
+        elif strain <= 1:
             # Quickly up to what they are known to fulfil, feeling the way beyond it.
             step = 1.5 if self.let_in < able else 1.1
             self.let_in = min(1.0, self.let_in * (step + (1 - step) * strain))
--- a/tests/play.py
+++ b/tests/play.py
@@ -5,7 +5,8 @@
     terms message_limit=12                what differs from the usual terms
     at 0 list a:0 b:1 c:1~20              the whole list (or `change`); c started at 20 s; `c:1!` is not ready
     at 0 join 1:0 2:1                     proxies and their zones; also `leave 1`
-    from 1 to 9 heard 0 a 8 2 300         each second: 8 tries from zone 0, 2 failed, good ones took 300 ms
+    from 1 to 9 heard 0 a 8 2 300         each second: 8 tries from zone 0, 2 failed, good ones took 300 ms;
+                                          a further word: the seconds that it covers, in place of one
     from 1 to 9 came 1 0 40 8             each second: proxy 1 was brought 40 exchanges of class 0, lost 8
     at 3 probe a ok 20                    a probe of a was answered, 20 wait (`lost`: it was not)
     at 3 gauged a 20 1.5                  others read a second and a half ago that 20 wait there
@@ -131,7 +132,8 @@
         director.left(int(rest[0]))
     elif what == "heard":
         zone, tries, bad, cost = int(rest[0]), int(rest[2]), int(rest[3]), int(rest[4]) * 10
-        director.heard(now, zone, host(rest[1]), tries, bad, cost, 10_000, {})
+        covers = tenths(rest[5]) if len(rest) > 5 else 10_000
+        director.heard(now, zone, host(rest[1]), tries, bad, cost, covers, {})
     elif what == "came":
         numbers = [int(word) for word in [*rest, "0"][:4]]
         director.arrived(now, numbers[0], numbers[1], numbers[2], numbers[3])
