--- /dev/null
+++ b/ironfall/permits/ledger.py
@@ -0,0 +1,936 @@
+"""The state machine: who may be out, by the entries of the log alone."""
+
+import json
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+from dataclasses import asdict
+from typing import Any
+
+from ironfall.permits.entries import Refused, decode
+from ironfall.permits.records import OPEN, REVERSIBLE, Ask, Director, Halt, Holder, Host, Past, Permit
+from ironfall.permits.room import HOUR, Scopes, Strength, channel_time
+from ironfall.permits.terms import MILLION, Rules, rules_of
+
+Moved = list[list[Any]]
+
+
+class Ledger:
+    """One method for each kind of entry, called by `entries.decode`; a method that may not be done raises `Refused`
+    before it changes anything."""
+
+    def __init__(self) -> None:
+        self._clear()
+
+    def _clear(self) -> None:
+        self.index = self.now = self.beat = 0
+        self.agreed = False  # whether rules have been agreed
+        self.rules = Rules()
+        self.listed = 0  # the list's version
+        self.hosts: dict[str, Host] = {}
+        self.directors: dict[str, Director] = {}
+        self.holders: dict[str, Holder] = {}
+        self.asks: OrderedDict[str, Ask] = OrderedDict()  # in the order of waiting
+        self.permits: dict[str, Permit] = {}  # open ones, by unit
+        self.ended: OrderedDict[str, list[Any]] = OrderedDict()
+        self.halts: dict[str, Halt] = {}
+        self.past: dict[str, Past] = {}
+        self.moved: Moved = []
+        self.held: dict[str, str] = {}  # scopes that an aged ask keeps free for itself
+        self.rested = True  # nothing changed since asks were last served
+        self._derive()
+
+    def _derive(self) -> None:
+        """What is counted, made anew from the records."""
+        self.scopes, self.strength = Scopes(), Strength()
+        self.scopes.rule(self.rules)
+        self.asked = {unit: ask.id for ask in self.asks.values() for unit in ask.units}
+        self.draining = sum(1 for p in self.permits.values() if p.state in ("granted", "draining"))
+        self.channel: tuple[int, int, int, int, int] | None = None
+        self.waits = self.live_directors = 0
+        self.cold: set[str] = set()
+        for name in self.hosts:
+            self._count_host(name, 1)
+        for name in self.directors:
+            self._count_director(name, 1)
+
+    # the log's side
+
+    def apply(self, index: int, entry: bytes) -> bytes:
+        """The answer to an entry; never raises. An entry that was applied already is not applied again."""
+        if index <= self.index:
+            return _packed({"no": f"entry {index} was applied already"})
+        self.index, self.moved = index, []
+        try:
+            answer: dict[str, Any] = {"ok": decode(entry, self) or True}
+        except Refused as refused:
+            answer = {"no": str(refused)}
+        if self.moved:
+            answer["moved"] = self.moved
+        return _packed(answer)
+
+    def snapshot(self) -> bytes:
+        def all_of(table: dict[str, Any]) -> list[Any]:
+            return [[name, asdict(one)] for name, one in table.items()]
+
+        return _packed({
+            "index": self.index, "now": self.now, "beat": self.beat, "agreed": self.agreed,
+            "rules": self.rules.facts(), "listed": self.listed,
+            "hosts": all_of(self.hosts), "directors": all_of(self.directors), "holders": all_of(self.holders),
+            "asks": all_of(self.asks), "permits": all_of(self.permits), "halts": all_of(self.halts),
+            "past": all_of(self.past), "ended": list(self.ended.items()), "held": list(self.held.items()),
+            "rested": self.rested, "loads": sorted(self.strength.loads.items()),
+        })  # fmt: skip
+
+    def restore(self, snapshot: bytes) -> None:
+        """Raises `ValueError` (or `KeyError`, `TypeError`) for what is no snapshot, and is then as it was."""
+        held = json.loads(snapshot)
+        kinds: dict[str, Any] = {"hosts": Host, "directors": Director, "holders": Holder, "asks": Ask,
+                                 "permits": Permit, "halts": Halt, "past": Past}  # fmt: skip
+        tables = {name: OrderedDict((k, kind(**one)) for k, one in held[name]) for name, kind in kinds.items()}
+        rules, loads = rules_of(held["rules"]), [(int(kind), list(hours)) for kind, hours in held["loads"]]
+        self._clear()
+        for name, table in tables.items():
+            setattr(self, name, table)
+        for name in ("index", "now", "beat", "agreed", "listed", "rested"):
+            setattr(self, name, held[name])
+        self.rules, self.ended, self.held = rules, OrderedDict(held["ended"]), dict(held["held"])
+        self._derive()
+        for kind, hours in loads:
+            self.strength.load(kind, hours)
+
+    def at(self, time: int) -> None:
+        """The log's time: it never goes back, whatever a new leader's clock says."""
+        self.now = max(self.now, time)
+
+    # rules, list, loads
+
+    def agree(self, rules: Rules) -> None:
+        self.rules, self.agreed, self.rested = rules, True, False
+        self._derive_rules()
+
+    def _derive_rules(self) -> None:
+        loads = self.strength.loads
+        self._derive()
+        for kind, hours in loads.items():
+            self.strength.load(kind, hours)
+        self._spare()
+
+    def load(self, kind: int, hours: list[int]) -> None:
+        self.strength.load(kind, hours)
+        self.rested = False
+        self._spare()
+
+    def list_hosts(self, version: int, hosts: dict[str, dict[str, Any]], gone: list[str]) -> None:
+        """What the registry's list says, a change at a time."""
+        if version <= self.listed:
+            raise Refused(f"the list's version {version} is no newer than {self.listed}")
+        if len(self.hosts) + sum(1 for h in hosts if h not in self.hosts) > self.rules.hosts:
+            raise Refused(f"no more than {self.rules.hosts} hosts are kept")
+        self.listed = version
+        for name, said in hosts.items():
+            if name in self.hosts:
+                self._count_host(name, -1)
+                host = self.hosts[name]
+                host.zone, host.kind, host.tenants = said["zone"], said["kind"], said["tenants"]
+                host.strength, host.classes = said["strength"], said["classes"]
+            else:
+                host = self.hosts[name] = Host(*(said[k] for k in ("zone", "kind", "tenants", "strength", "classes")))
+            host.listed, host.ready, host.mark, host.started = True, said["ready"], said["token"], said["started"]
+            host.cold = self.now < host.started + self.rules.warming
+            self._count_host(name, 1)
+            self._seen_back("host/" + name)
+        for name in gone:
+            if name in self.hosts:
+                self._count_host(name, -1)
+                self.hosts[name].listed = self.hosts[name].ready = False
+                self._count_host(name, 1)
+        self.rested = False
+        self._spare()
+
+    # members
+
+    def join(self, name: str, incarnation: int, zone: str, version: str) -> dict[str, int]:
+        """A director's lease, asked for or renewed."""
+        known = self.directors.get(name)
+        if known and (incarnation < known.incarnation or incarnation == known.incarnation and not known.live):
+            raise Refused(f"incarnation {incarnation} of {name} is over")
+        if not known and len(self.directors) >= self.rules.directors:
+            raise Refused(f"no more than {self.rules.directors} directors are kept")
+        if not known or incarnation > known.incarnation:
+            if known:
+                self._forget_words(name)
+                self._count_director(name, -1)
+            # What the former one held is held by others or by nobody: its proxies join anew.
+            self.directors[name] = Director(zone, incarnation, version)
+            self._count_director(name, 1)
+            self.rested = False
+            self._seen_back("director/" + name)
+            self._look_all()
+        until = self.directors[name].until = self.now + self.rules.lease
+        self._spare()
+        return {"until": until}
+
+    def hold(self, name: str, incarnation: int) -> dict[str, int]:
+        """A holder's lease, asked for or renewed."""
+        known = self.holders.get(name)
+        if known and (incarnation < known.incarnation or incarnation == known.incarnation and not known.live):
+            raise Refused(f"incarnation {incarnation} of {name} is over")
+        if not known and len(self.holders) >= self.rules.holders and not self._room_for_holder():
+            raise Refused(f"no more than {self.rules.holders} holders are kept")
+        if not known or incarnation > known.incarnation:
+            if known and known.live:
+                self._left(name, "its holder came anew")
+            self.holders[name] = Holder(incarnation)
+        until = self.holders[name].until = self.now + self.rules.lease
+        return {"until": until}
+
+    def _room_for_holder(self) -> bool:
+        busy = {p.holder for p in self.permits.values()} | {a.holder for a in self.asks.values()}
+        for name, holder in self.holders.items():
+            if not holder.live and name not in busy:
+                del self.holders[name]
+                return True
+        return False
+
+    def lapse(self, role: str, name: str, incarnation: int) -> None:
+        """The leader heard nothing for a whole lease by its own clock."""
+        held: Holder | Director | None = self.holders.get(name) if role == "holder" else self.directors.get(name)
+        if held is None or held.incarnation != incarnation or not held.live:
+            raise Refused(f"{role} {name} has no lease of incarnation {incarnation}")
+        due = held.until + self.rules.lease * self.rules.drift // MILLION
+        if self.now < due:
+            raise Refused(f"the lease of {name} ends at {due}, and it is {self.now}")
+        if role == "holder":
+            held.live = False
+            self._left(name, "its holder's lease lapsed")
+            return
+        self._count_director(name, -1)
+        held.live = False
+        self._count_director(name, 1)
+        self._confirm_none(name)
+        self._look_all()
+        self._spare()
+
+    def _left(self, holder: str, cause: str) -> None:
+        for ask in [a for a in self.asks.values() if a.holder == holder]:
+            self._drop(ask, "refused", cause)
+        for unit, permit in [(u, p) for u, p in self.permits.items() if p.holder == holder]:
+            if permit.state in REVERSIBLE:
+                self._undo(unit, permit, "taken back", cause)
+            elif permit.state in ("out", "returning"):
+                self._move(unit, permit, "lost", cause, order=True)
+
+    # what members say
+
+    def words(self, said: dict[str, dict[str, Any]]) -> dict[str, str]:
+        """What directors stand for, many in one entry; each that counts for nothing is answered by name."""
+        unheard: dict[str, str] = {}
+        touched: set[str] = set()
+        for name, word in said.items():
+            director = self.directors.get(name)
+            if director is None or not director.live or word["inc"] != director.incarnation:
+                unheard[name] = "no live lease of this incarnation"
+            elif word["n"] <= director.number:
+                unheard[name] = "no newer than what it said before"
+            else:
+                touched.update(self._word(name, director, word))
+        # Together at the end: a digest of all directors is counted once, not once for each of them.
+        for unit in sorted(touched):
+            self._look(unit)
+        self._spare()
+        return unheard
+
+    def _word(self, name: str, director: Director, word: dict[str, Any]) -> set[str]:
+        """The units that it may concern."""
+        self._count_director(name, -1)
+        for figure in ("proxies", "binding", "waiting", "bare", "refused", "fulfilled", "near", "leaving"):
+            setattr(director, figure, word[figure])
+        director.number, director.spoke, director.acted = word["n"], True, max(director.acted, word["token"])
+        before, director.took = director.took, word["took"]
+        self._count_director(name, 1)
+        drained = {host: token for host, token in word["drained"].items() if "host/" + host in self.permits}
+        for host in sorted(set(director.drained) | set(drained)):
+            if permit := self.permits.get("host/" + host):
+                self._confirm(name, permit, drained.get(host, 0))
+        touched = {"director/" + name, *("host/" + host for host in (*director.drained, *drained))}
+        director.drained = drained
+        silent = sorted(host for host in set(word["silent"]) if host in self.hosts)
+        for host in sorted(set(director.silent) ^ set(silent)):
+            if host in self.hosts:
+                self._silence(host, name, host in silent)
+        director.silent = silent
+        self._seen_back("director/" + name)
+        return touched if before == director.took else touched | set(self.permits)
+
+    def _silence(self, name: str, director: str, silent: bool) -> None:
+        self._count_host(name, -1)
+        voices = self.hosts[name].silent
+        if silent and director not in voices:
+            voices.append(director)
+        elif not silent and director in voices:
+            voices.remove(director)
+        self._count_host(name, 1)
+        self.rested = False
+        self._seen_back("host/" + name)
+
+    def _forget_words(self, name: str) -> None:
+        for host in self.directors[name].silent:
+            if host in self.hosts:
+                self._silence(host, name, False)
+        self._confirm_none(name)
+        for other in self.directors.values():
+            other.took.pop(name, None)
+
+    def _confirm(self, director: str, permit: Permit, token: int) -> None:
+        confirmed = permit.state in ("draining", "empty") and token == permit.token
+        if confirmed and director not in permit.confirms:
+            permit.confirms.append(director)
+        elif not confirmed and director in permit.confirms:
+            permit.confirms.remove(director)
+
+    def _confirm_none(self, director: str) -> None:
+        for permit in self.permits.values():
+            if director in permit.confirms:
+                permit.confirms.remove(director)
+
+    def agents(self, said: dict[str, dict[str, Any]]) -> dict[str, str]:
+        """What hosts' own agents say, many in one entry."""
+        unheard: dict[str, str] = {}
+        for name, word in said.items():
+            host = self.hosts.get(name)
+            if host is None:
+                unheard[name] = "not a host of the list"
+            elif (word["inc"], word["n"]) <= (host.agent, host.number):
+                unheard[name] = "no newer than what it said before"
+            else:
+                host.agent, host.number, host.up = word["inc"], word["n"], word["up"]
+                host.quiet, host.heard, host.acted = word["quiet"], self.now, max(host.acted, word["token"])
+                self._look("host/" + name)
+                self._seen_back("host/" + name)
+        self._spare()
+        return unheard
+
+    # asks
+
+    def ask(self, holder: str, incarnation: int, number: int, units: list[str], length: int,
+            release: str) -> dict[str, Any]:  # fmt: skip
+        """May these be out, all together? The same number again is answered with what became of it."""
+        held = self._live(holder, incarnation)
+        name = f"{holder}/{incarnation}/{number}"
+        if number <= held.asked:
+            return {"ask": name, "state": self._ask_state(name)}
+        if not self.agreed:
+            raise Refused("no rules are agreed yet")
+        if len(units) > self.rules.together:
+            raise Refused(f"an ask names at most {self.rules.together} units")
+        if len(self.asks) >= self.rules.waiting:
+            raise Refused(f"{self.rules.waiting} asks wait already")
+        for unit in units:
+            if not self._known(unit):
+                raise Refused(f"{unit} is not known")
+            if unit in self.asked:
+                raise Refused(f"{unit} is asked for by {self.asked[unit]}")
+        ask = Ask(name, holder, incarnation, units, length, release, self.now)
+        if never := self._never(ask):
+            raise Refused(f"never: {never}")
+        held.asked = number
+        self.asks[name] = ask
+        self.asked.update((unit, name) for unit in units)
+        if not self._try(ask):
+            self.moved.append([name, "asked", self.index, ask.short[-1] if ask.short else ""])
+        return {"ask": name, "state": self._ask_state(name), "token": self.index}
+
+    def cancel(self, holder: str, incarnation: int, number: int) -> None:
+        """The holder needs it no more: what waits or can be undone is; what is out is to be returned."""
+        self._live(holder, incarnation)
+        name = f"{holder}/{incarnation}/{number}"
+        if ask := self.asks.get(name):
+            self._drop(ask, "refused", "cancelled")
+            return
+        undone = [(u, p) for u, p in self.permits.items() if p.ask == name and p.state in REVERSIBLE]
+        if not undone:
+            raise Refused(f"nothing of {name} waits or can be undone")
+        for unit, permit in undone:
+            self._undo(unit, permit, "taken back", "cancelled")
+
+    def _ask_state(self, name: str) -> dict[str, str]:
+        if name in self.asks:
+            return {unit: "asked" for unit in self.asks[name].units}
+        found = {unit: p.state for unit, p in self.permits.items() if p.ask == name}
+        ended = self.ended.get(name)
+        return dict(ended) | found if ended else found
+
+    def _live(self, holder: str, incarnation: int) -> Holder:
+        held = self.holders.get(holder)
+        if held is None or not held.live or held.incarnation != incarnation:
+            raise Refused(f"{holder} holds no live lease of incarnation {incarnation}")
+        if self.now >= held.until:
+            raise Refused(f"the lease of {holder} ended at {held.until}, and it is {self.now}")
+        return held
+
+    def _known(self, unit: str) -> bool:
+        kind, _, name = unit.partition("/")
+        return name in self.hosts if kind == "host" else name in self.directors
+
+    # a permit's life
+
+    def _held(self, holder: str, incarnation: int, unit: str, token: int, *states: str) -> Permit:
+        self._live(holder, incarnation)
+        permit = self.permits.get(unit)
+        if permit is None or permit.holder != holder or permit.incarnation != incarnation:
+            raise Refused(f"{holder} has no permit for {unit}")
+        if permit.state not in states:
+            raise Refused(f"{unit} is {permit.state}, not {' or '.join(states)}")
+        if token != permit.token:
+            raise Refused(f"token {token} is not the newest of {unit}, {permit.token}")
+        return permit
+
+    def drain(self, holder: str, incarnation: int, unit: str, token: int) -> dict[str, int]:
+        permit = self._held(holder, incarnation, unit, token, "granted")
+        if halt := self._halted(unit, permit.release):
+            raise Refused(f"halted: {halt}")
+        self._move(unit, permit, "draining", order=True)
+        self._look(unit)
+        return {"token": permit.token}
+
+    def out(self, holder: str, incarnation: int, unit: str, token: int) -> dict[str, int]:
+        """The one step that can't be taken back."""
+        permit = self._held(holder, incarnation, unit, token, "draining", "empty")
+        if halt := self._halted(unit, permit.release):
+            raise Refused(f"halted: {halt}")
+        if why := self._holds_still(unit, permit):
+            raise Refused(f"{unit} is not known to be empty: {why}")
+        if short := self._exceeded(unit, permit):
+            raise Refused(f"{short} has no room for it any more")
+        permit.before = self._incarnation(unit)
+        self._move(unit, permit, "out", order=True)
+        return {"token": permit.token}
+
+    def give_back(self, holder: str, incarnation: int, unit: str, token: int) -> dict[str, int]:
+        """The holder is done (or begins nothing): the unit is to come back, and counts until it is seen."""
+        permit = self._held(holder, incarnation, unit, token, *REVERSIBLE, "out")
+        if permit.state in REVERSIBLE:
+            self._undo(unit, permit, "back", "given back")
+        else:
+            self._move(unit, permit, "returning", order=True)
+        return {"token": permit.token}
+
+    def adopt(self, holder: str, incarnation: int, unit: str) -> dict[str, int]:
+        """A holder that came anew takes up what its former incarnation had out."""
+        self._live(holder, incarnation)
+        permit = self.permits.get(unit)
+        if permit is None or permit.holder != holder or permit.state != "lost":
+            raise Refused(f"{holder} lost no permit for {unit}")
+        permit.incarnation = incarnation
+        self._move(unit, permit, "out", "adopted", order=True)
+        return {"token": permit.token}
+
+    def forget(self, unit: str, by: str) -> None:
+        """An operator's word that this is gone for good: the way out where a host or director never comes back.
+
+        Of a host that the list calls ready only the permit ends: its agent is what never spoke again.
+        """
+        kind, _, name = unit.partition("/")
+        if not self._known(unit):
+            raise Refused(f"{unit} is not known")
+        ready = kind == "host" and self.hosts[name].listed and self.hosts[name].ready
+        if ready and unit not in self.permits:
+            raise Refused(f"{unit} is on the list, ready")
+        if kind == "director" and self.directors[name].live:
+            raise Refused(f"{unit} has a live lease")
+        if ask := self.asks.get(self.asked.get(unit, "")):
+            self._drop(ask, "refused", f"{unit} is forgotten by {by}")
+        if permit := self.permits.get(unit):
+            self._end(unit, permit, "back", f"forgotten by {by}")
+        if kind == "host" and not ready:
+            self._count_host(name, -1)
+            del self.hosts[name]
+        elif kind == "director":
+            self._forget_words(name)
+            self._count_director(name, -1)
+            del self.directors[name]
+            self._look_all()
+        self.rested = False
+        self._spare()
+
+    def _incarnation(self, unit: str) -> int:
+        kind, _, name = unit.partition("/")
+        return self.hosts[name].agent if kind == "host" else self.directors[name].incarnation
+
+    def _holds_still(self, unit: str, permit: Permit) -> str:
+        """What stands against its being empty; nothing when all confirm."""
+        standing, _, _, _, unknown = self._channel()
+        if unknown:
+            return f"{unknown} proxies of directors without a lease were seen nowhere else"
+        kind, _, name = unit.partition("/")
+        if kind == "director":
+            director = self.directors[name]
+            if not director.live or not director.leaving or director.acted < permit.token:
+                return "it has not said that it is ready to stop"
+            return ""
+        live = self.live
+        if not live:
+            return "no director has a live lease"
+        if len(permit.confirms) < live:
+            return f"{live - len(permit.confirms)} directors have not confirmed"
+        host = self.hosts[name]
+        if host.quiet < self.rules.empty or self.now > host.heard + self.rules.lease or host.heard < permit.since:
+            return "its agent has not said, lately, that nothing comes"
+        return ""
+
+    def _look(self, unit: str) -> None:
+        permit = self.permits.get(unit)
+        if permit is None or permit.state not in ("draining", "empty"):
+            return
+        state = "draining" if self._holds_still(unit, permit) else "empty"
+        if state != permit.state:
+            since = permit.since
+            self._move(unit, permit, state)
+            if state == "draining" or unit.startswith("host/"):
+                permit.since = since  # the time of draining goes on: a host that is never empty for long is stuck
+
+    def _look_all(self) -> None:
+        for unit in list(self.permits):
+            self._look(unit)
+
+    def _seen_back(self, unit: str) -> None:
+        """Back is what was seen: by the list, or a director's lease, under an order no older than the way back."""
+        permit = self.permits.get(unit)
+        if permit is None or permit.state not in ("returning", "undoing", "lost"):
+            return
+        kind, _, name = unit.partition("/")
+        if kind == "host":
+            host = self.hosts[name]
+            stopped = permit.state != "undoing"
+            seen = host.ready and host.mark >= permit.token and len(host.silent) < self.rules.voices
+            if stopped:
+                seen = seen and host.up and (host.agent > permit.before or host.acted >= permit.token)
+        else:
+            director = self.directors[name]
+            seen = director.live and (director.incarnation > permit.before if permit.before else False)
+            seen = seen or director.live and not director.leaving and director.acted >= permit.token
+        if seen:
+            ends = {"undoing": permit.cause.partition(":")[0]}
+            self._end(unit, permit, ends.get(permit.state, "back"), permit.cause)
+
+    def _undo(self, unit: str, permit: Permit, end: str, cause: str) -> None:
+        """The way back of what is reversible. Nothing was marked yet for what is granted alone."""
+        if permit.state == "granted":
+            self._end(unit, permit, end, cause)
+        else:
+            self._move(unit, permit, "undoing", f"{end}: {cause}", order=True)
+            permit.confirms = []
+
+    def _move(self, unit: str, permit: Permit, state: str, cause: str = "", order: bool = False) -> None:
+        """`order`: the fleet is to do something, under a newer token."""
+        self._count(unit, -1)
+        self.draining += (state in ("granted", "draining")) - (permit.state in ("granted", "draining"))
+        permit.state, permit.since, permit.cause = state, self.now, cause
+        if order:
+            permit.token = self.index
+        self._count(unit, 1)
+        self.moved.append([unit, state, permit.token, cause])
+
+    def _end(self, unit: str, permit: Permit, state: str, cause: str) -> None:
+        self._count(unit, -1)
+        self.draining -= permit.state in ("granted", "draining")
+        del self.permits[unit]
+        self._count(unit, 1)
+        self.rested = False
+        self._past(permit.ask, [[unit, state]])
+        self.moved.append([unit, state, self.index, cause])
+
+    def _drop(self, ask: Ask, state: str, cause: str) -> None:
+        del self.asks[ask.id]
+        for unit in ask.units:
+            del self.asked[unit]
+        self.rested = False
+        self.held = {scope: by for scope, by in self.held.items() if by != ask.id}
+        self._past(ask.id, [[unit, state] for unit in ask.units])
+        self.moved.append([ask.id, state, self.index, cause])
+
+    def _past(self, ask: str, ends: list[Any]) -> None:
+        self.ended.setdefault(ask, []).extend(ends)
+        self.ended.move_to_end(ask)
+        while len(self.ended) > self.rules.history:
+            self.ended.popitem(last=False)
+
+    # counting
+
+    def _count(self, unit: str, way: int) -> None:
+        kind, _, name = unit.partition("/")
+        self._count_host(name, way) if kind == "host" else self._count_director(name, way)
+
+    def _scopes(self, unit: str) -> list[str]:
+        kind, _, name = unit.partition("/")
+        if kind == "director":
+            return ["directors", f"directors-zone {self.directors[name].zone}"]
+        host = self.hosts[name]
+        return ["fleet", f"zone {host.zone}", f"kind {host.kind}", *(f"tenant {t}" for t in host.tenants)]
+
+    def _count_host(self, name: str, way: int) -> None:
+        host, permit = self.hosts[name], self.permits.get("host/" + name)
+        failed = not self._stands("host/" + name)
+        out, undoing = failed or permit is not None, permit is not None and permit.state == "undoing"
+        self.scopes.add(self._scopes("host/" + name), way, out, undoing, permit is None and failed)
+        if host.cold:
+            (self.cold.add if way > 0 else self.cold.discard)(name)
+        lends = host.strength * self.rules.cold // MILLION if host.cold else host.strength
+        self.strength.add(host.classes, way * host.strength, 0 if out else way * lends,
+                          way * lends if undoing else 0, way * lends if permit else 0)  # fmt: skip
+
+    def _count_director(self, name: str, way: int) -> None:
+        director, permit = self.directors[name], self.permits.get("director/" + name)
+        undoing = permit is not None and permit.state == "undoing"
+        self.scopes.add(self._scopes("director/" + name), way, not director.live or permit is not None, undoing,
+                        permit is None and not director.live)  # fmt: skip
+        self.channel = None
+
+    @property
+    def live(self) -> int:
+        self._channel()
+        return self.live_directors
+
+    def _channel(self) -> tuple[int, int, int, int, int]:
+        """Of directors: how many stand, their proxies, those of the others not seen elsewhere, the most lines of a
+        binding, and the proxies of those without a lease that were seen nowhere else."""
+        if self.channel is None:
+            seen: dict[str, int] = {}
+            for director in self.directors.values():
+                for name, (incarnation, proxies) in director.took.items() if director.live else ():
+                    if name in self.directors and self.directors[name].incarnation == incarnation:
+                        seen[name] = seen.get(name, 0) + proxies
+            standing = staying = moving = binding = unknown = live = 0
+            self.waits = 0
+            for name, director in self.directors.items():
+                left = max(0, director.proxies - seen.get(name, 0))
+                binding = max(binding, director.binding)
+                live += director.live
+                if director.live and "director/" + name not in self.permits:
+                    standing += 1
+                    staying += director.proxies
+                    self.waits = max(self.waits, director.waiting)
+                else:
+                    # One that never spoke may have had any number: it is known only when it is back or forgotten.
+                    moving += director.proxies if director.live else left
+                    unknown += 0 if director.live else max(left, not director.spoke)
+            self.live_directors = live
+            self.channel = standing, staying, moving, binding, unknown
+        return self.channel
+
+    def _channel_short(self, hosts: int, directors: list[str], alone: bool = False) -> bool:
+        """Whether the channel can't do what is under way, these drains and these directors' proxies."""
+        standing, staying, moving, binding, _ = self._channel()
+        if not self.directors and not directors:
+            return False
+        names = [d for d in directors if "director/" + d not in self.permits and self.directors[d].live]
+        going = sum(self.directors[d].proxies for d in names)
+        drains, waiting = self.draining + hosts, self.waits
+        if alone:
+            back = [self.directors[u[9:]] for u in self.permits if u.startswith("director/")]
+            back = [d for d in back if d.live]
+            standing, staying = standing + len(back), staying + sum(d.proxies for d in back)
+            moving, drains, waiting = moving - sum(d.proxies for d in back), hosts, 0
+        time = channel_time(self.rules, standing - len(names), staying - going, moving + going, binding, waiting,
+                            drains)  # fmt: skip
+        return time > (min(self.rules.bare, self.rules.grace) if drains else self.rules.bare)
+
+    def _hour(self) -> int:
+        return self.now // HOUR % 24
+
+    def _need(self, length: int) -> list[tuple[int, int]]:
+        # From the hour it is to the hour in which the work ends: the highest of each.
+        return self.strength.need(self.rules, self._hour(), (self.now % HOUR + length) // HOUR + 1)
+
+    def _lends(self, units: Iterable[str], alone: bool) -> dict[int, int]:
+        less: dict[int, int] = {}
+        for unit in units:
+            if alone or unit not in self.permits:
+                host = self.hosts[unit[5:]]
+                if self._stands(unit):
+                    lends = host.strength * self.rules.cold // MILLION if host.cold else host.strength
+                    less[host.classes] = less.get(host.classes, 0) + lends
+        return less
+
+    # granting
+
+    def _more(self, units: list[str], unplanned: bool = True) -> dict[str, int]:
+        """How many more would be out by scope; what is out without a permit is counted already."""
+        more: dict[str, int] = {}
+        for unit in units:
+            for scope in self._scopes(unit):
+                more[scope] = more.get(scope, 0) + (not unplanned or self._stands(unit))
+        return more
+
+    def _stands(self, unit: str) -> bool:
+        kind, _, name = unit.partition("/")
+        if kind == "director":
+            return self.directors[name].live
+        host = self.hosts[name]
+        return host.listed and host.ready and len(host.silent) < self.rules.voices
+
+    def _short(self, ask: Ask, alone: bool = False) -> list[str]:
+        """Every scope that has no room for it now (`alone`: if nothing planned were under way)."""
+        short = [s for s, n in self._more(ask.units).items() if self.scopes.short(s, n, alone)]
+        hosts = [u for u in ask.units if u.startswith("host/")]
+        if hosts:
+            have = [self.strength.warm] + ([self.strength.planned] if alone else [])
+            if self.strength.lacks(self._need(ask.length), have, self._lends(hosts, alone)):
+                short.append("strength")
+        if self._channel_short(len(hosts), [u[9:] for u in ask.units if u.startswith("director/")], alone):
+            short.append("channel")
+        if not alone:
+            short += [u for u in ask.units if u in self.permits]
+        return short
+
+    def _never(self, ask: Ask) -> str:
+        """The budget that forbids it even when all is well; nothing if none does."""
+        for scope, n in self._more(ask.units, False).items():
+            if n > (limit := self.scopes.limit(scope)):
+                return f"{scope} allows {limit} out, and {n} are asked for"
+        hosts = [u for u in ask.units if u.startswith("host/")]
+        less: dict[int, int] = {}
+        for unit in hosts:
+            host = self.hosts[unit[5:]]
+            less[host.classes] = less.get(host.classes, 0) + host.strength
+        hours = ask.length // HOUR + 1
+        needs = (self.strength.need(self.rules, hour, hours) for hour in range(24))
+        if hosts and all(self.strength.lacks(need, [self.strength.whole], less) for need in needs):
+            return "strength: what is left does not carry the load at any hour"
+        directors = [u[9:] for u in ask.units if u.startswith("director/")]
+        # What this many of its own size come to with all the others standing.
+        whole = sum(d.proxies for d in self.directors.values())
+        going = sum(self.directors[d].proxies for d in directors)
+        standing, binding = len(self.directors) - len(directors), self._channel()[3]
+        if self.directors:
+            time = channel_time(self.rules, standing, whole - going, going, binding, 0, len(hosts))
+            if time > (most := min(self.rules.bare, self.rules.grace) if hosts else self.rules.bare):
+                return f"channel: it takes {'for ever' if time >= 1 << 60 else time}, and {most} is allowed"
+        return ""
+
+    def _halted(self, unit: str, release: str) -> str:
+        if not self.halts:
+            return ""
+        scopes = self._halting(unit, release)
+        return next((f"{s} ({self.halts[s].reason})" for s in scopes if s in self.halts), "")
+
+    def _halting(self, unit: str, release: str) -> list[str]:
+        """The scopes of a halt that stop this."""
+        kind, _, name = unit.partition("/")
+        if kind == "director":
+            return ["all", f"zone {self.directors[name].zone}", f"release {release}"]
+        host = self.hosts[name]
+        return ["all", f"zone {host.zone}", *(f"tenant {t}" for t in host.tenants), f"release {release}"]
+
+    def _try(self, ask: Ask) -> bool:
+        """Grant it if there is room for all of it, and no older one keeps that room for itself."""
+        for unit in ask.units:
+            if halt := self._halted(unit, ask.release):
+                self._lacks(ask, ["halt " + halt])
+                return False
+        if self.held:
+            kept = [s for s in (*self._more(ask.units), *ask.units) if self.held.get(s, ask.id) != ask.id]
+            kept += [s for s in ("strength", "channel") if self.held.get(s, ask.id) != ask.id]
+            if kept:
+                self._lacks(ask, ["kept: " + kept[0]])
+                return False
+        if short := self._short(ask):
+            self._lacks(ask, short)
+            return False
+        if len(self.permits) + len(ask.units) > self.rules.open:
+            self._lacks(ask, ["open"])
+            return False
+        del self.asks[ask.id]
+        for unit in ask.units:
+            del self.asked[unit]
+            self._count(unit, -1)
+            self.permits[unit] = Permit(ask.id, ask.holder, ask.incarnation, ask.length, ask.release, self.index,
+                                        self.index, "granted", self.now)  # fmt: skip
+            self.draining += 1
+            self._count(unit, 1)
+            self.moved.append([unit, "granted", self.index, ask.id])
+        self.held = {scope: by for scope, by in self.held.items() if by != ask.id}
+        return True
+
+    def _lacks(self, ask: Ask, scopes: list[str]) -> None:
+        ask.short += [s for s in scopes if s not in ask.short and not s.startswith(("halt ", "kept: "))]
+
+    def _serve(self) -> None:
+        """All who wait, oldest first. An aged one that stands in wait for planned work alone keeps every scope that
+        was ever too full for it from younger ones: each scope then empties, and stays so."""
+        self.held = {}
+        for ask in list(self.asks.values()):
+            if never := self._never(ask):
+                self._drop(ask, "refused", f"never: {never}")
+            elif not self._try(ask) and self.now - ask.since >= self.rules.age:
+                if not any(self._halted(u, ask.release) for u in ask.units) and not self._short(ask, alone=True):
+                    for scope in ask.short:
+                        self.held.setdefault(scope, ask.id)
+        self.rested = True
+
+    # loss, halts
+
+    def _spare(self) -> None:
+        """What failed by itself eats the budget: as long as a scope is over it, the newest that can be undone are."""
+        if not self.agreed:
+            return
+        newest = sorted(((p.granted, u) for u, p in self.permits.items() if p.state in REVERSIBLE), reverse=True)
+        for _, unit in newest if newest and self._over(max(p.length for p in self.permits.values())) else ():
+            permit = self.permits.get(unit)
+            if permit and permit.state in REVERSIBLE and (scope := self._exceeded(unit, permit)):
+                for other, its in [(u, p) for u, p in self.permits.items() if p.ask == permit.ask]:
+                    if its.state in REVERSIBLE:
+                        self._undo(other, its, "taken back", f"{scope} is over its budget")
+        self._watch()
+
+    def _over(self, length: int) -> bool:
+        """Whether anything at all is over: most entries change nothing, and no permit is looked at for them."""
+        return (
+            any(self.scopes.short(scope, 0, projected=True) for scope in self.scopes.counts)
+            or self.strength.lacks(self._need(length), [self.strength.warm, self.strength.undoing], {})
+            or self._channel_short(0, [])
+        )
+
+    def _exceeded(self, unit: str, permit: Permit) -> str:
+        for scope in self._scopes(unit):
+            if self.scopes.short(scope, 0, projected=True):
+                return scope
+        if unit.startswith("host/"):
+            if self.strength.lacks(self._need(permit.length), [self.strength.warm, self.strength.undoing], {}):
+                return "strength"
+        return "channel" if self._channel_short(0, []) else ""
+
+    def halt(self, scope: str, by: str, reason: str) -> None:
+        """An operator's word."""
+        if scope not in self.halts and len(self.halts) >= self.rules.halts:
+            raise Refused(f"no more than {self.rules.halts} halts are kept: halt all")
+        self._halt(scope, by, reason, False)
+
+    def lift(self, scope: str, by: str) -> None:
+        if scope not in self.halts:
+            raise Refused(f"{scope} is not halted")
+        halt = self.halts.pop(scope)
+        if halt.own:
+            self.past.pop(scope, None)
+        self.rested = False
+        self.moved.append([scope, "lifted", self.index, by])
+
+    def harm(self, release: str, reason: str) -> None:
+        """A verdict on a canary, computed outside, halts its release."""
+        self._halt_self(f"release {release}", f"harm: {reason}")
+
+    def _halt_self(self, scope: str, reason: str) -> None:
+        if scope in self.halts:
+            self.halts[scope].calm = 0
+            return
+        if len(self.halts) >= self.rules.halts:
+            scope = "all"
+        if scope in self.halts:
+            return
+        past = self.past.setdefault(scope, Past(0, self.now))
+        if self.now - past.last > self.rules.heal:
+            past.times = 0
+        past.times, past.last = past.times + 1, self.now
+        if len(self.past) > self.rules.halts:
+            del self.past[min((p.last, s) for s, p in self.past.items() if s != scope)[1]]
+        self._halt(scope, "itself", reason, True)
+
+    def _halt(self, scope: str, by: str, reason: str, own: bool) -> None:
+        self.halts[scope] = Halt(by, reason, self.now, own)
+        self.moved.append([scope, "halted", self.index, reason])
+        for unit, permit in list(self.permits.items()):
+            if scope in self._halting(unit, permit.release):
+                if permit.state in REVERSIBLE:
+                    self._undo(unit, permit, "halted", f"{scope}: {reason}")
+                else:
+                    permit.recalled = True
+
+    def _causes(self) -> Iterator[tuple[str, str]]:
+        """What halts by itself, as it stands now."""
+        for scope, count in self.scopes.counts.items():
+            # A share of few hosts is reached by one: two at least, for one host that fails is every day's.
+            if scope.startswith(("fleet", "zone ")) and count.unplanned > max(1, count.total * self.rules.unplanned // MILLION):  # noqa: E501
+                yield ("all" if scope == "fleet" else scope), "unplanned loss"
+        if sum(d.live and d.near >= self.rules.near for d in self.directors.values()) >= self.rules.voices:
+            yield "all", "a rule is near its limit"
+
+    def _watch(self) -> None:
+        for scope, reason in list(self._causes()):
+            self._halt_self(scope, reason)
+
+    def tick(self) -> None:
+        """The leader's beat, once a second: what is due by time alone."""
+        gap, self.beat = self.now - (self.beat or self.now), self.now
+        if gap > self.rules.lease + self.rules.lease * self.rules.drift // MILLION:
+            self._halt_self("all", "no quorum was seen for a lease")
+        for name in [n for n in self.cold if self.now >= self.hosts[n].started + self.rules.warming]:
+            self._count_host(name, -1)
+            self.hosts[name].cold = False
+            self._count_host(name, 1)
+            self.rested = False
+        for unit, permit in list(self.permits.items()):
+            waited, rules = self.now - permit.since, self.rules
+            if permit.state == "granted" and waited >= rules.begin:
+                self._undo(unit, permit, "taken back", "nothing was begun")
+            elif permit.state in ("draining", "empty") and waited >= rules.drain:
+                self._undo(unit, permit, "taken back", "it drained too long")
+            elif permit.state == "returning" and waited >= rules.back:
+                self._move(unit, permit, "lost", "it was not seen back", order=True)
+            else:
+                self._look(unit)
+        self._spare()
+        self._calm()
+        if not self.rested or any(self.now - a.since >= self.rules.age for a in self.asks.values()):
+            self._serve()
+
+    def _calm(self) -> None:
+        """Own halts go after calm, twice as long each time; after `times` only by an operator."""
+        causes = {scope for scope, _ in self._causes()}
+        for scope, halt in list(self.halts.items()):
+            past = self.past.get(scope)
+            if not halt.own or past is None or past.times > self.rules.times:
+                continue
+            if scope in causes:
+                halt.calm = 0
+            elif not halt.calm:
+                halt.calm = self.now
+            elif self.now - halt.calm >= self.rules.pause << (past.times - 1):
+                del self.halts[scope]
+                self.rested = False
+                self.moved.append([scope, "lifted", self.index, "calm"])
+
+    # to look at
+
+    def marks(self) -> Iterator[tuple[str, str, int]]:
+        """What each open unit is to be, under which token: the leader tells registry and agents until it is so.
+        What is out and called back comes first."""
+        wanted = {"draining": "leaving", "empty": "leaving", "out": "stopped"}
+        for unit, permit in sorted(self.permits.items(), key=lambda i: (not i[1].recalled, i[1].state != "lost", i[1].granted)):  # noqa: E501
+            if permit.state != "granted":
+                yield unit, wanted.get(permit.state, "ready"), permit.token
+
+    def due(self) -> Iterator[tuple[str, str, int]]:
+        """Leases that have run out: role, name, incarnation, for entries `lapse` by the leader."""
+        slack = self.rules.lease * self.rules.drift // MILLION
+        tables: tuple[tuple[str, dict[str, Any]], ...] = ("holder", self.holders), ("director", self.directors)
+        for role, table in tables:
+            for name, held in table.items():
+                if held.live and self.now >= held.until + slack:
+                    yield role, name, held.incarnation
+
+    def look(self) -> dict[str, Any]:
+        """What operators are shown."""
+        return {
+            "now": self.now, "index": self.index,
+            "permits": {u: asdict(p) for u, p in self.permits.items()},
+            "asks": {a.id: {"units": a.units, "since": a.since, "short": a.short} for a in self.asks.values()},
+            "halts": {s: asdict(h) for s, h in self.halts.items()},
+            "scopes": {s: [c.total, c.out, c.unplanned, self.scopes.limit(s)] for s, c in self.scopes.counts.items()},
+        }  # fmt: skip
+
+
+def _packed(what: Any) -> bytes:
+    return json.dumps(what, separators=(",", ":")).encode()
+
+
+assert set(REVERSIBLE) < set(OPEN)
--- /dev/null
+++ b/ironfall/permits/terms.py
@@ -0,0 +1,175 @@
+"""The `(fleet ...)` part of a service's terms: who keeps the ledger, and what may be out.
+
+`read_fleet` is handed the words of the section; `rules` makes of them the figures that enter the log, so that keepers
+with unlike files still hold the same ledger. Times are tenths of a millisecond, shares parts of a million.
+"""
+
+from dataclasses import asdict, dataclass, fields
+from typing import Any
+
+from ironfall.interface import ServiceTerms
+from ironfall.sexp import Node, Source
+
+SECOND = 10_000
+MILLION = 1_000_000
+# What a budget counts: hosts, or directors, of the whole fleet or of each of their groups.
+SCOPES = ("fleet", "zone", "kind", "tenant", "directors", "directors-zone")
+
+
+@dataclass(frozen=True)
+class Rules:
+    """All that the ledger counts by, as one entry of the log."""
+
+    lease: int = 10 * SECOND
+    drift: int = 10_000  # of two clocks against each other, of a million
+    budgets: tuple[tuple[str, int, int], ...] = (("fleet", 1 << 30, 100_000), ("directors", 1 << 30, 100_000))
+    margin: int = 200_000
+    age: int = 600 * SECOND
+    empty: int = 5 * SECOND
+    begin: int = 60 * SECOND  # granted or empty, and nothing begun
+    drain: int = 600 * SECOND
+    back: int = 600 * SECOND  # returning, and not seen back
+    voices: int = 2  # directors whose word takes a host for silent
+    unplanned: int = 100_000
+    near: int = 900_000
+    pause: int = 60 * SECOND
+    times: int = 3
+    heal: int = 36_000 * SECOND
+    bare: int = 20 * SECOND
+    grace: int = 20 * SECOND
+    pace: int = 1_000  # lines a second of one director's channel
+    head: int = 8
+    slowest: int = SECOND
+    cold: int = 300_000
+    warming: int = 60 * SECOND
+    waiting: int = 1_024  # asks
+    together: int = 256  # units of an ask
+    open: int = 4_096  # permits
+    history: int = 4_096  # ended permits
+    holders: int = 1_024
+    hosts: int = 16_384
+    directors: int = 4_096
+    halts: int = 256
+
+    def facts(self) -> dict[str, Any]:
+        return asdict(self) | {"budgets": [list(b) for b in self.budgets]}
+
+
+def rules_of(facts: dict[str, Any]) -> Rules:
+    """`Rules` from an entry; raises `ValueError` with what is wrong in it."""
+    usual = Rules()
+    known = {f.name for f in fields(Rules)}
+    if unknown := sorted(set(facts) - known):
+        raise ValueError(f"unknown rule {unknown[0]}")
+    for name, value in facts.items():
+        if name == "budgets":
+            if not isinstance(value, list) or not all(
+                isinstance(b, list) and len(b) == 3 and b[0] in SCOPES and type(b[1]) is int and type(b[2]) is int
+                and b[1] >= 0 and 0 <= b[2] <= MILLION for b in value):  # fmt: skip
+                raise ValueError("budgets are [scope, number, parts of a million]")
+            if len({b[0] for b in value}) < len(value):
+                raise ValueError("a scope has two budgets")
+        elif type(value) is not int or not 0 <= value < 1 << 53:
+            raise ValueError(f"rule {name} is no whole number from 0 up")
+    for name in ("lease", "pace", "voices", "waiting", "together", "open", "holders", "halts"):
+        if facts.get(name, getattr(usual, name)) < 1:
+            raise ValueError(f"rule {name} must be above nought")
+    for name in ("hosts", "directors"):
+        if facts.get(name, getattr(usual, name)) < 1_024:
+            raise ValueError(f"rule {name} must be at least 1024")
+    return Rules(**(facts | {"budgets": tuple((b[0], b[1], b[2]) for b in facts["budgets"])}
+                    if "budgets" in facts else facts))  # fmt: skip
+
+
+@dataclass(frozen=True)
+class FleetTerms:
+    """No keepers: the fleet's parts are not there. Shares are parts of one."""
+
+    keepers: tuple[tuple[str, tuple[str, int]], ...] = ()
+    lease: int = Rules.lease
+    drift: float = Rules.drift / MILLION
+    budgets: tuple[tuple[str, int, float], ...] = ()
+    margin: float = Rules.margin / MILLION
+    age: int = Rules.age
+    empty: int = Rules.empty
+    begin: int = Rules.begin
+    drain: int = Rules.drain
+    back: int = Rules.back
+    voices: int = Rules.voices
+    unplanned: float = Rules.unplanned / MILLION
+    near: float = Rules.near / MILLION
+    pause: int = Rules.pause
+    times: int = Rules.times
+    heal: int = Rules.heal
+
+    def rules(self, service: ServiceTerms) -> Rules:
+        shares = {name: round(getattr(self, name) * MILLION) for name in ("drift", "margin", "unplanned", "near")}
+        same = ("lease", "age", "empty", "begin", "drain", "back", "voices", "pause", "times", "heal")
+        return Rules(
+            **{name: getattr(self, name) for name in same}, **shares,
+            budgets=tuple((scope, number, round(share * MILLION)) for scope, number, share in self.budgets),
+            bare=service.bare_time, grace=service.drain_grace, pace=max(1, int(service.lines_each_second)),
+            head=-int(-service.message_head // 1), slowest=service.slowest_message,
+            cold=round(service.cold_share * MILLION), warming=service.cold_time,
+        )  # fmt: skip
+
+
+def read_fleet(source: Source, form: Any, words: Any) -> FleetTerms:
+    """The section from its `form` by `words`, the readers of `ironfall.terms` (handed in: that package imports this).
+
+    Each fault goes to `source` with its place.
+    """
+    usual = FleetTerms()
+    if not form.node.parts:
+        return usual
+    keepers: list[tuple[str, tuple[str, int]]] = []
+    for node in form.all("keeper"):
+        if len(node.parts) != 3 or not isinstance(node.parts[1].value, str) or not node.parts[1].value:
+            source.fault(node.at, 'expected (keeper "NAME" "ADDRESS")')
+            continue
+        name, address = node.parts[1].value, words._address(source, node.parts[2])
+        if name in dict(keepers):
+            source.fault(node.parts[1].at, f"keeper {name} is named twice")
+        elif address in [a for _, a in keepers]:
+            source.fault(node.parts[2].at, f"keeper {name} stands at another's address")
+        keepers.append((name, address))
+    if len(keepers) not in (1, 3, 5):
+        source.fault(form.node.at, f"a fleet has 3 or 5 keepers (or 1, for a trial), not {len(keepers)}")
+    budgets: list[tuple[str, int, float]] = []
+    for node in form.all("budget"):
+        budgets += _budget(source, node, words, [scope for scope, _, _ in budgets])
+    halt = form.form("halt", False)
+    shares = {"drift": words._part, "margin": words._part}
+    read = {
+        name: form.get(name, shares.get(name, words._count if name == "voices" else words._time), getattr(usual, name))
+        for name in ("lease", "drift", "margin", "age", "empty", "begin", "drain", "back", "voices")
+    }
+    kinds = {"unplanned": words._part, "near": words._part, "times": words._count}
+    read |= {
+        name: halt.get(name, kinds.get(name, words._time), getattr(usual, name))
+        for name in ("unplanned", "near", "pause", "times", "heal")
+    }
+    for name, where in (("lease", form), ("empty", form), ("voices", form), ("pause", halt)):
+        if not read[name]:
+            source.fault(where.lists[name][0].at if name in where.lists else form.node.at, f"({name} ...) must be above nought")  # noqa: E501
+    if read["drift"] >= 0.5:
+        source.fault(form.lists["drift"][0].at, "clocks that drift by half of the time keep no lease")
+    if read["voices"] == 1:
+        source.fault(form.lists["voices"][0].at, "one director's word is one voice: (voices N) is at least 2")
+    halt.done()
+    form.done()
+    return FleetTerms(keepers=tuple(keepers), budgets=tuple(budgets), **read)
+
+
+def _budget(source: Source, node: Node, words: Any, known: list[str]) -> list[tuple[str, int, float]]:
+    form = words._Form(source, node)
+    scope = form.values[0].word if len(form.values) == 1 else ""
+    if scope not in SCOPES:
+        source.fault(node.at, f"expected (budget SCOPE ...), the scope one of {', '.join(SCOPES)}")
+    if scope in known:
+        source.fault(node.at, f"a second budget of {scope}")
+    if not form.lists.get("number") and not form.lists.get("share"):
+        source.fault(node.at, "a budget needs (number N), (share N%) or both")
+    number, share = form.get("number", words._count, 1 << 30), form.get("share", words._part, 1.0)
+    form.done()
+    return [(scope, number, share)] if scope in SCOPES and scope not in known else []
--- /dev/null
+++ b/tests/test_permits.py
@@ -0,0 +1,262 @@
+"""The ledger of who may be out: pointed cases, the same state from the same entries, seeds and mutants."""
+
+import json
+
+import pytest
+
+from ironfall.permits import Fence, Ledger
+from ironfall.permits.terms import SECOND, Rules
+
+RULES = Rules(budgets=(("fleet", 3, 1_000_000), ("zone", 2, 1_000_000), ("directors", 1, 1_000_000)),
+              lease=100 * SECOND, age=60 * SECOND, empty=5 * SECOND, unplanned=500_000)  # fmt: skip
+
+
+class Fleet:
+    """Eight hosts in two zones, three directors, one holder; each step is an entry."""
+
+    def __init__(self, rules=RULES, hosts=8, strength=10):
+        self.ledger, self.index, self.now, self.v, self.n = Ledger(), 0, 3_600 * SECOND, 0, {}
+        self.do("rules", rules=rules.facts())
+        self.names = [f"h{n}" for n in range(hosts)]
+        self.strength = strength
+        self.list({h: True for h in self.names})
+        for d in ("d0", "d1", "d2"):
+            self.do("join", director=d, inc=1, zone="z0")
+        self.words()
+        self.agents()
+        self.do("hold", holder="s", inc=1)
+
+    def do(self, kind, **fields):
+        self.index += 1
+        return json.loads(self.ledger.apply(self.index, json.dumps({"k": kind, "at": self.now} | fields).encode()))
+
+    def ok(self, kind, **fields):
+        answer = self.do(kind, **fields)
+        assert "ok" in answer, answer
+        return answer
+
+    def no(self, kind, **fields):
+        answer = self.do(kind, **fields)
+        assert "no" in answer, answer
+        return answer["no"]
+
+    def list(self, ready, **more):
+        self.v += 1
+        one = {"kind": "k", "tenants": ["t"], "strength": self.strength, "classes": 1, "started": 0}
+        return self.ok("list", v=self.v, hosts={
+            h: one | {"zone": f"z{int(h[1:]) % 2}", "ready": r} | more for h, r in ready.items()})  # fmt: skip
+
+    def words(self, names=("d0", "d1", "d2"), inc=1, **more):
+        self.n["d"] = self.n.get("d", 0) + 1
+        word = {"inc": inc, "n": self.n["d"], "proxies": 10, "binding": 5} | more
+        return self.ok("words", directors=dict.fromkeys(names, word))
+
+    def agents(self, names=None, **more):
+        self.n["a"] = self.n.get("a", 0) + 1
+        word = {"inc": 1, "n": self.n["a"], "up": True} | more
+        return self.ok("agents", hosts=dict.fromkeys(names or self.names, word))
+
+    def ask(self, n, *units, length=600 * SECOND, **more):
+        return self.do("ask", holder="s", inc=1, n=n, units=[f"host/{u}" for u in units], length=length, **more)
+
+    def step(self, kind, host, token, inc=1):
+        return self.do(kind, holder="s", inc=inc, unit=f"host/{host}", token=token)
+
+    def pass_time(self, seconds, beat=True):
+        for _ in range(int(seconds)):
+            self.now += SECOND
+            if beat:
+                self.ok("tick")
+        self.do("hold", holder="s", inc=1)
+
+    def state(self, host):
+        permit = self.ledger.permits.get(f"host/{host}")
+        return permit.state if permit else ""
+
+    def to_empty(self, host, n):
+        self.ask(n, host)
+        token = self.step("drain", host, self.ledger.permits[f"host/{host}"].token)["ok"]["token"]
+        self.list({host: False}, token=token)
+        self.words(drained={host: token})
+        self.pass_time(6)
+        self.agents([host], quiet=6 * SECOND)
+        return token
+
+    def to_out(self, host, n):
+        return self.step("out", host, self.to_empty(host, n))["ok"]["token"]
+
+
+def test_a_permit_from_ask_to_seen_back():
+    fleet = Fleet()
+    token = fleet.to_empty("h0", 1)
+    assert fleet.state("h0") == "empty"
+    out = fleet.step("out", "h0", token)["ok"]["token"]
+    assert "newest" in fleet.step("back", "h0", token)["no"]
+    back = fleet.step("back", "h0", out)["ok"]["token"]
+    assert fleet.state("h0") == "returning" and list(fleet.ledger.marks()) == [("host/h0", "ready", back)]
+    fleet.list({"h0": True}, token=out)  # a word from before the order
+    fleet.agents(["h0"], inc=2)
+    assert fleet.state("h0") == "returning"
+    fleet.list({"h0": True}, token=back)
+    assert fleet.state("h0") == "" and fleet.ask(1, "h0")["ok"]["state"] == {"host/h0": "back"}
+
+
+def test_nothing_is_out_without_every_confirmation():
+    fleet = Fleet()
+    fleet.ask(1, "h0")
+    token = fleet.step("drain", "h0", fleet.ledger.permits["host/h0"].token)["ok"]["token"]
+    fleet.pass_time(6)
+    fleet.agents(["h0"], quiet=6 * SECOND)
+    fleet.words(("d0", "d1"), drained={"h0": token})
+    assert "1 directors have not confirmed" in fleet.step("out", "h0", token)["no"]
+    fleet.words(("d2",), drained={"h0": token - 1})
+    assert "confirmed" in fleet.step("out", "h0", token)["no"]
+    fleet.words(("d2",), drained={"h0": token})
+    assert fleet.state("h0") == "empty"
+    fleet.words(("d1",))  # proxies with old tables have joined it
+    assert fleet.state("h0") == "draining" and "confirmed" in fleet.step("out", "h0", token)["no"]
+
+
+def test_a_director_that_lapsed_blocks_until_its_proxies_are_seen_elsewhere():
+    fleet = Fleet(Rules(**(RULES.facts() | {"budgets": (("fleet", 3, 1_000_000),), "bare": 10_000 * SECOND})))
+    assert "ends at" in fleet.no("lapse", role="director", name="d2", inc=1)
+    fleet.now += 60 * SECOND
+    for d in ("d0", "d1"):
+        fleet.ok("join", director=d, inc=1, zone="z0")
+    fleet.ok("hold", holder="s", inc=1)
+    fleet.now += 42 * SECOND
+    fleet.ok("lapse", role="director", name="d2", inc=1)
+    token = fleet.to_empty("h0", 1)
+    assert "10 proxies" in fleet.step("out", "h0", token)["no"]
+    fleet.words(("d0",), drained={"h0": token}, took={"d2": [1, 9]})
+    fleet.words(("d1",), drained={"h0": token}, took={"d2": [0, 5]})  # of an earlier incarnation
+    assert "1 proxies" in fleet.step("out", "h0", token)["no"]
+    fleet.words(("d1",), drained={"h0": token}, took={"d2": [1, 1]})
+    assert "ok" in fleet.step("out", "h0", token)
+
+
+def test_what_failed_by_itself_takes_back_the_newest_that_can_be_undone():
+    fleet = Fleet()
+    fleet.to_out("h0", 1)
+    first, second = fleet.ask(2, "h1"), fleet.ask(3, "h3")
+    assert first["moved"][0][1] == second["moved"][0][1] == "granted"
+    fleet.list({"h5": False})  # zone z1: three of two, so one of them goes
+    assert (fleet.state("h0"), fleet.state("h1"), fleet.state("h3")) == ("out", "granted", "")
+    fleet.list({"h2": False})  # the fleet: four of three; what is out stays
+    assert (fleet.state("h0"), fleet.state("h1")) == ("out", "")
+    assert "asked" in str(fleet.ask(4, "h7"))
+
+
+def test_a_lapse_frees_no_place():
+    fleet = Fleet()
+    fleet.to_out("h0", 1)
+    fleet.now += 102 * SECOND
+    for d in ("d0", "d1", "d2"):
+        fleet.ok("join", director=d, inc=1, zone="z0")
+    fleet.ok("lapse", role="holder", name="s", inc=1)
+    assert fleet.state("h0") == "lost" and fleet.ledger.scopes.counts["fleet"].out == 1
+    assert "is over" in fleet.no("hold", holder="s", inc=1)
+    fleet.ok("hold", holder="s", inc=2)
+    token = fleet.ok("adopt", holder="s", inc=2, unit="host/h0")["ok"]["token"]
+    assert "ok" in fleet.step("back", "h0", token, inc=2)
+
+
+def test_all_or_nothing_and_an_old_ask_keeps_its_room():
+    fleet = Fleet()
+    fleet.ask(1, "h0")
+    fleet.ask(2, "h2", "h4")  # zone z0 has room for one more
+    assert fleet.state("h2") == fleet.state("h4") == ""
+    assert fleet.ask(3, "h6")["moved"][0][1] == "granted"  # young ones pass
+    fleet.step("back", "h6", fleet.ledger.permits["host/h6"].token)
+    fleet.pass_time(58)  # what nobody began is taken back only after 60 s
+    fleet.step("drain", "h0", fleet.ledger.permits["host/h0"].token)
+    fleet.pass_time(3)
+    assert fleet.ask(4, "h6")["moved"][0][1:] == ["asked", fleet.index, ""]  # kept for the old one
+    assert "granted" in str(fleet.ask(5, "h1"))  # another zone is not kept
+    token = fleet.step("back", "h0", fleet.ledger.permits["host/h0"].token)["ok"]["token"]
+    fleet.list({"h0": True}, token=token)
+    fleet.pass_time(1)
+    assert fleet.state("h2") == fleet.state("h4") == "granted" and fleet.state("h6") == ""
+
+
+def test_what_can_never_be_granted_is_refused_by_name():
+    fleet = Fleet()
+    assert "zone z0 allows 2" in fleet.ask(1, "h0", "h2", "h4")["no"]
+    fleet.ok("load", **{"class": 0}, hours=[60] * 24)
+    assert "strength" in fleet.ask(2, "h0", "h1")["no"]  # six of ten carry 60, and a fifth more is wanted
+    assert "not known" in fleet.ask(3, "nobody")["no"]
+    assert "fleet" not in str(fleet.ask(4, "h0"))
+
+
+def test_strength_is_asked_of_every_hour_that_the_work_spans():
+    fleet = Fleet()
+    hours = [10] * 24
+    hours[2] = 65
+    fleet.ok("load", **{"class": 0}, hours=hours)
+    assert "granted" in str(fleet.ask(1, "h0", length=600 * SECOND))
+    assert "granted" not in str(fleet.ask(2, "h1", length=4_000 * SECOND))
+    assert fleet.ledger.asks["s/1/2"].short == ["strength"]
+
+
+def test_a_halt_takes_back_what_it_can_and_lets_nothing_begin():
+    fleet = Fleet()
+    fleet.to_out("h0", 1)
+    token = fleet.to_empty("h1", 2)
+    fleet.ask(3, "h3")
+    answer = fleet.ok("halt", scope="all", by="ann", reason="smoke")
+    assert [m[:2] for m in answer["moved"]] == [["all", "halted"], ["host/h1", "undoing"], ["host/h3", "halted"]]
+    assert next(fleet.ledger.marks())[0] == "host/h0" and fleet.ledger.permits["host/h0"].recalled
+    assert "undoing" in fleet.step("out", "h1", token)["no"]
+    assert fleet.ask(4, "h5")["moved"][0][1] == "asked"
+    fleet.ok("lift", scope="all", by="ann")
+    fleet.pass_time(1)
+    assert fleet.state("h5") == "granted"
+
+
+def test_own_halts_lift_themselves_ever_later_and_then_not_at_all():
+    fleet = Fleet()
+    waits = []
+    for _ in range(4):
+        fleet.ok("harm", release="r", reason="refusals")
+        for second in range(300):
+            fleet.pass_time(1)
+            if not fleet.ledger.halts:
+                waits.append(second)
+                break
+    assert waits == [60, 120, 240] and list(fleet.ledger.halts) == ["release r"]
+    fleet.ok("lift", scope="release r", by="ann")
+    assert not fleet.ledger.halts
+
+
+def test_a_director_goes_only_as_the_channel_carries_its_proxies():
+    # Twenty proxies move to two directors: one second of the way, and 10 each of 8 + 5 + 1 lines at 100 a second.
+    for bare, granted in ((24_000, True), (23_999, False)):
+        rules = Rules(**(RULES.facts() | {"bare": bare, "pace": 100, "budgets": (("directors", 1, 1_000_000),)}))
+        fleet = Fleet(rules)
+        fleet.words(("d2",), proxies=20)
+        answer = fleet.do("ask", holder="s", inc=1, n=1, units=["director/d2"], length=SECOND)
+        assert ("granted" in str(answer)) is granted and ("channel" in str(answer)) is not granted
+
+
+@pytest.mark.parametrize("entry, cause", [
+    (b"\xff", "must be JSON"), (b"[" * 100_000, "must be JSON"), (b"[]", "unknown kind"),
+    (b'{"k":"tick"}', "at is missing"),
+    (b'{"k":"tick","at":1.5}', "at must be"), (b'{"k":"tick","at":true}', "at must be"),
+    (b'{"k":"tick","at":1,"x":1}', "unknown field x"), (b'{"k":"hold","at":1,"holder":"","inc":1}', "holder must be"),
+    (b'{"k":"list","at":1,"v":1,"hosts":{"h":{"zone":1}}}', "hosts.h.zone must be"),
+    (b'{"k":"halt","at":1,"scope":"zone","by":"a","reason":"b"}', "scope must be"),
+    (b'{"k":"rules","at":1,"rules":{"hosts":1023}}', "at least 1024"), (b'{"k":["tick"],"at":1}', "unknown kind"),
+    (b'{"k":"hold","at":1,"holder":"\\ud800","inc":1,"z":0}', "unknown field"),
+])  # fmt: skip
+def test_malformed_entries_are_refused_and_change_nothing(entry, cause):
+    ledger = Ledger()
+    before = json.loads(ledger.snapshot())
+    assert cause in json.loads(ledger.apply(1, entry))["no"]
+    assert json.loads(ledger.snapshot()) | {"index": 0} == before
+
+
+def test_a_fence_refuses_older_tokens_after_a_restart_too():
+    fence = Fence(most=1)
+    assert fence.allows("host/a", 5) and fence.allows("host/a", 5) and not fence.allows("host/a", 4)
+    fence = Fence(fence.state(), most=1)
+    assert not fence.allows("host/a", 4) and fence.allows("host/a", 6) and not fence.allows("host/b", 9)
