--- a/ironfall/lab/permits_sim.py
+++ b/ironfall/lab/permits_sim.py
@@ -396,7 +396,7 @@
 
 
 class GrantsParts(Ledger):
-    def _try(self, ask: Any) -> bool:
+    def _try(self, ask: Any) -> str:
         if len(ask.units) > 1 and self._short(ask):
             self.asked.pop(ask.units.pop(), None)
         return super()._try(ask)
@@ -424,7 +424,7 @@
 
 
 class ServesTheYoung(Ledger):
-    def _try(self, ask: Any) -> bool:
+    def _try(self, ask: Any) -> str:
         self.held = {}
         return super()._try(ask)
 
--- a/ironfall/permits/ledger.py
+++ b/ironfall/permits/ledger.py
@@ -37,6 +37,7 @@
         self.moved: Moved = []
         self.held: dict[str, str] = {}  # scopes that an aged ask keeps free for itself
         self.rested = True  # nothing changed since asks were last served
+        self.firm = True  # nor what could ever be granted
         self._derive()
 
     def _derive(self) -> None:
@@ -79,7 +80,7 @@
             "hosts": all_of(self.hosts), "directors": all_of(self.directors), "holders": all_of(self.holders),
             "asks": all_of(self.asks), "permits": all_of(self.permits), "halts": all_of(self.halts),
             "past": all_of(self.past), "ended": list(self.ended.items()), "held": list(self.held.items()),
-            "rested": self.rested, "loads": sorted(self.strength.loads.items()),
+            "rested": self.rested, "firm": self.firm, "loads": sorted(self.strength.loads.items()),
         })  # fmt: skip
 
     def restore(self, snapshot: bytes) -> None:
@@ -92,7 +93,7 @@
         self._clear()
         for name, table in tables.items():
             setattr(self, name, table)
-        for name in ("index", "now", "beat", "agreed", "listed", "rested"):
+        for name in ("index", "now", "beat", "agreed", "listed", "rested", "firm"):
             setattr(self, name, held[name])
         self.rules, self.ended, self.held = rules, OrderedDict(held["ended"]), dict(held["held"])
         self._derive()
@@ -106,10 +107,7 @@
     # rules, list, loads
 
     def agree(self, rules: Rules) -> None:
-        self.rules, self.agreed, self.rested = rules, True, False
-        self._derive_rules()
-
-    def _derive_rules(self) -> None:
+        self.rules, self.agreed, self.rested, self.firm = rules, True, False, False
         loads = self.strength.loads
         self._derive()
         for kind, hours in loads.items():
@@ -118,7 +116,7 @@
 
     def load(self, kind: int, hours: list[int]) -> None:
         self.strength.load(kind, hours)
-        self.rested = False
+        self.rested = self.firm = False
         self._spare()
 
     def list_hosts(self, version: int, hosts: dict[str, dict[str, Any]], gone: list[str]) -> None:
@@ -132,9 +130,11 @@
             if name in self.hosts:
                 self._count_host(name, -1)
                 host = self.hosts[name]
+                self.firm = self.firm and (host.strength, host.zone) == (said["strength"], said["zone"])
                 host.zone, host.kind, host.tenants = said["zone"], said["kind"], said["tenants"]
                 host.strength, host.classes = said["strength"], said["classes"]
             else:
+                self.firm = False
                 host = self.hosts[name] = Host(*(said[k] for k in ("zone", "kind", "tenants", "strength", "classes")))
             host.listed, host.ready, host.mark, host.started = True, said["ready"], said["token"], said["started"]
             host.cold = self.now < host.started + self.rules.warming
@@ -170,7 +170,7 @@
             # What the former one held is held by others or by nobody: its proxies join anew.
             self.directors[name] = Director(zone, incarnation, version)
             self._count_director(name, 1)
-            self.rested = False
+            self.rested = self.firm = False
             self._seen_back("director/" + name)
             self._look_all()
         until = self.directors[name].until = self.now + self.rules.lease
@@ -349,7 +349,7 @@
         held.asked = number
         self.asks[name] = ask
         self.asked.update((unit, name) for unit in units)
-        if not self._try(ask):
+        if self._try(ask):
             self.moved.append([name, "asked", self.index, ask.short[-1] if ask.short else ""])
         return {"ask": name, "state": self._ask_state(name), "token": self.index}
 
@@ -466,7 +466,7 @@
             self._count_director(name, -1)
             del self.directors[name]
             self._look_all()
-        self.rested = False
+        self.rested = self.firm = False
         self._spare()
 
     def _incarnation(self, unit: str) -> int:
@@ -686,8 +686,13 @@
         return host.listed and host.ready and len(host.silent) < self.rules.voices
 
     def _short(self, ask: Ask, alone: bool = False) -> list[str]:
-        """Every scope that has no room for it now (`alone`: if nothing planned were under way)."""
+        """Every scope that has no room for it now (`alone`: if nothing planned were under way).
+
+        Of one that is not aged some are enough: hundreds may wait at each beat.
+        """
         short = [s for s, n in self._more(ask.units).items() if self.scopes.short(s, n, alone)]
+        if short and (alone or self.now - ask.since < self.rules.age):
+            return short
         hosts = [u for u in ask.units if u.startswith("host/")]
         if hosts:
             have = [self.strength.warm] + ([self.strength.planned] if alone else [])
@@ -740,24 +745,21 @@
         host = self.hosts[name]
         return ["all", f"zone {host.zone}", *(f"tenant {t}" for t in host.tenants), f"release {release}"]
 
-    def _try(self, ask: Ask) -> bool:
-        """Grant it if there is room for all of it, and no older one keeps that room for itself."""
+    def _try(self, ask: Ask) -> str:
+        """Grant it if there is room for all of it, and no older one keeps that room for itself; else what it waits
+        for: `halted`, `kept` or `short`."""
         for unit in ask.units:
-            if halt := self._halted(unit, ask.release):
-                self._lacks(ask, ["halt " + halt])
-                return False
+            if self._halted(unit, ask.release):
+                return "halted"
         if self.held:
-            kept = [s for s in (*self._more(ask.units), *ask.units) if self.held.get(s, ask.id) != ask.id]
-            kept += [s for s in ("strength", "channel") if self.held.get(s, ask.id) != ask.id]
-            if kept:
-                self._lacks(ask, ["kept: " + kept[0]])
-                return False
+            scopes = {"strength", "channel", *ask.units, *(s for u in ask.units for s in self._scopes(u))}
+            if any(scope in scopes and by != ask.id for scope, by in self.held.items()):
+                return "kept"
         if short := self._short(ask):
-            self._lacks(ask, short)
-            return False
+            ask.short += [scope for scope in short if scope not in ask.short]
+            return "short"
         if len(self.permits) + len(ask.units) > self.rules.open:
-            self._lacks(ask, ["open"])
-            return False
+            return "short"
         del self.asks[ask.id]
         for unit in ask.units:
             del self.asked[unit]
@@ -770,23 +772,21 @@
                 self._stray(unit[5:], self.hosts[unit[5:]], False)
             self.moved.append([unit, "granted", self.index, ask.id])
         self.held = {scope: by for scope, by in self.held.items() if by != ask.id}
-        return True
-
-    def _lacks(self, ask: Ask, scopes: list[str]) -> None:
-        ask.short += [s for s in scopes if s not in ask.short and not s.startswith(("halt ", "kept: "))]
+        return ""
 
     def _serve(self) -> None:
         """All who wait, oldest first. An aged one that stands in wait for planned work alone keeps every scope that
-        was ever too full for it from younger ones: each scope then empties, and stays so."""
+        was ever too full for it from younger ones: each scope then empties, and stays so. The oldest of all is kept
+        from nothing, so that each is the oldest once."""
         self.held = {}
         for ask in list(self.asks.values()):
-            if never := self._never(ask):
+            if not self.firm and (never := self._never(ask)):
                 self._drop(ask, "refused", f"never: {never}")
-            elif not self._try(ask) and self.now - ask.since >= self.rules.age:
-                if not any(self._halted(u, ask.release) for u in ask.units) and not self._short(ask, alone=True):
+            elif self._try(ask) == "short" and self.now - ask.since >= self.rules.age:
+                if not self._short(ask, alone=True):
                     for scope in ask.short:
                         self.held.setdefault(scope, ask.id)
-        self.rested = True
+        self.rested = self.firm = True
 
     # loss, halts
 
