--- a/ironfall/lab/permits_judge.py
+++ b/ironfall/lab/permits_judge.py
@@ -360,7 +360,9 @@
         if old and old.waits and granted and all(
             self.asks[self.units[w].ask].since >= old.since and self.units[w].ask != self.aged for w in granted
             if w in self.units) and self._alone(old):  # fmt: skip
-            taken = touched & old.full & set(self._room(True, True, tuple(old.units)))
+            # One that had failed already takes no room.
+            takes = {scope for what in granted if not self._fails(what) for scope in self._scopes(what)}
+            taken = takes & old.full & set(self._room(True, True, tuple(old.units)))
             if taken:
                 self._broken("starved", f"{granted[0]} takes room in {sorted(taken)[0]} that {self.aged} waits for")
 
--- a/ironfall/lab/permits_sim.py
+++ b/ironfall/lab/permits_sim.py
@@ -142,6 +142,8 @@
                     self.work(name, holder)
             self.lead()
             self.true()
+            if step == FAULTED + CALM // 2:
+                self.give_up()
             if self.calm and not self.ledger.permits and not self.ledger.asks:
                 break
         self.judge.finish()
@@ -158,6 +160,12 @@
             if holder.alive and not self.ledger.holders.get(name):
                 holder.alive = False
 
+    def give_up(self) -> None:
+        """An ask may wait for an hour of less load, and a history is minutes: its holder needs it no more."""
+        for ask in list(self.ledger.asks.values()):
+            if "strength" in ask.short:
+                self.put("cancel", holder=ask.holder, inc=ask.incarnation, n=int(ask.id.rpartition("/")[2]))
+
     def faults(self) -> None:
         pick = self.chance
         if pick.random() < 0.05:
