--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -1,14 +1,17 @@
 """The ledger of who may be out: pointed cases, the same state from the same entries, seeds and mutants."""
 
 import json
+from pathlib import Path
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ironfall import terms
 from ironfall.lab.permits_sim import MUTANTS, play
-from ironfall.permits import Fence, Ledger
-from ironfall.permits.terms import SECOND, Rules
+from ironfall.permits import Fence, Ledger, Rules, read_fleet
+from ironfall.permits.terms import SECOND, rules_of
+from ironfall.sexp import Source
 
 RULES = Rules(budgets=(("fleet", 3, 1_000_000), ("zone", 2, 1_000_000), ("directors", 1, 1_000_000)),
               lease=100 * SECOND, age=60 * SECOND, empty=5 * SECOND, unplanned=500_000)  # fmt: skip
@@ -314,3 +317,38 @@
     again = Ledger()
     again.restore(ledger.snapshot())
     assert again.snapshot() == ledger.snapshot()
+
+
+def fleet_of(text):
+    """The section as `read_terms` will read it, in the readers' own hands."""
+    source = Source("fleet.sexp", text)
+    return read_fleet(source, terms._Form(source, source.nodes[0]), terms), [str(f) for f in source.faults]
+
+
+def test_terms_become_the_rules_of_the_log():
+    fleet, faults = fleet_of("""(fleet (keeper "k1" "127.0.0.1:1") (keeper "k2" "127.0.0.1:2")
+      (keeper "k3" "127.0.0.1:3")
+      (lease 5s) (drift 1%) (budget fleet (number 20) (share 5%)) (budget directors-zone (number 1)) (margin 25%)
+      (halt (unplanned 4%) (times 2)))""")
+    assert not faults and fleet.keepers[2] == ("k3", ("127.0.0.1", 3)) and fleet.times == 2
+    service = terms.read_terms("charts.sexp", Path("deploy/terms/charts.sexp").read_text()).service
+    rules = fleet.rules(service)
+    assert rules.budgets == (("fleet", 20, 50_000), ("directors-zone", 1, 1_000_000))
+    assert (rules.lease, rules.drift, rules.margin, rules.unplanned) == (50_000, 10_000, 250_000, 40_000)
+    assert (rules.bare, rules.pace) == (service.bare_time, int(service.lines_each_second))
+    assert rules_of(json.loads(json.dumps(rules.facts()))) == rules
+
+
+def test_every_fault_of_the_terms_has_its_place():
+    _, faults = fleet_of("""(fleet (keeper "k1" "127.0.0.1:1") (keeper "k1" "127.0.0.1:1")
+ (lease 0s) (voices 1) (drift 60%)
+ (budget fleet) (budget planet (number 1)) (budget zone (number 1)) (budget zone (number 2))
+ (halt (near 120%) (often 3)) (colour 3))""")
+    expected = {
+        "1:44": "k1 is named twice", "1:1": "not 2", "2:2": "above nought", "2:13": "one voice", "2:24": "drift by half",
+        "3:2": "needs (number", "3:17": "expected (budget SCOPE", "3:69": "second budget of zone",
+        "4:14": "at most 100%", "4:20": "unknown word often", "4:31": "unknown word colour",
+    }  # fmt: skip
+    found = {":".join(f.split(":")[1:3]): f for f in faults}
+    assert found.keys() == expected.keys() and len(faults) == len(expected)
+    assert all(cause in found[place] for place, cause in expected.items()), faults
