--- a/ironfall/permits/ledger.py
+++ b/ironfall/permits/ledger.py
@@ -253,7 +253,7 @@
         for figure in ("proxies", "binding", "waiting", "bare", "refused", "fulfilled", "near", "leaving"):
             setattr(director, figure, word[figure])
         director.number, director.spoke, director.acted = word["n"], True, max(director.acted, word["token"])
-        before, director.took = director.took, word["took"]
+        before, director.took = director.took, {d: pair for d, pair in word["took"].items() if d in self.directors}
         self._count_director(name, 1)
         drained = {host: token for host, token in word["drained"].items() if "host/" + host in self.permits}
         for host in sorted(set(director.drained) | set(drained)):
@@ -434,7 +434,7 @@
         permit = self.permits.get(unit)
         if permit is None or permit.holder != holder or permit.state != "lost":
             raise Refused(f"{holder} lost no permit for {unit}")
-        permit.incarnation = incarnation
+        permit.incarnation, permit.recalled = incarnation, min(1, permit.recalled) * self.now
         self._move(unit, permit, "out", "adopted", order=True)
         return {"token": permit.token}
 
@@ -832,8 +832,14 @@
         halt = self.halts.pop(scope)
         if halt.own:
             self.past.pop(scope, None)
+        self._lifted(scope, by)
+
+    def _lifted(self, scope: str, by: str) -> None:
         self.rested = False
         self.moved.append([scope, "lifted", self.index, by])
+        for unit, permit in self.permits.items():
+            if permit.recalled and not self._halted(unit, permit.release):
+                permit.recalled = 0
 
     def harm(self, release: str, reason: str) -> None:
         """A verdict on a canary, computed outside, halts its release."""
@@ -863,7 +869,7 @@
                 if permit.state in REVERSIBLE:
                     self._undo(unit, permit, "halted", f"{scope}: {reason}")
                 else:
-                    permit.recalled = True
+                    permit.recalled = permit.recalled or max(1, self.now)
 
     def _causes(self) -> Iterator[tuple[str, str]]:
         """What halts by itself, as it stands now."""
@@ -894,6 +900,8 @@
                 self._undo(unit, permit, "taken back", "nothing was begun")
             elif permit.state in ("draining", "empty") and waited >= rules.drain:
                 self._undo(unit, permit, "taken back", "it drained too long")
+            elif permit.state == "out" and permit.recalled and self.now - permit.recalled >= rules.back:
+                self._move(unit, permit, "lost", "called back, and its holder did not return it", order=True)
             elif permit.state == "returning" and waited >= rules.back:
                 self._move(unit, permit, "lost", "it was not seen back", order=True)
             else:
@@ -916,8 +924,7 @@
                 halt.calm = self.now
             elif self.now - halt.calm >= self.rules.pause << (past.times - 1):
                 del self.halts[scope]
-                self.rested = False
-                self.moved.append([scope, "lifted", self.index, "calm"])
+                self._lifted(scope, "calm")
 
     # to look at
 
--- a/ironfall/permits/records.py
+++ b/ironfall/permits/records.py
@@ -83,7 +83,7 @@
     state: str
     since: int
     cause: str = ""
-    recalled: bool = False
+    recalled: int = 0  # since when a halt calls it back
     before: int = 0  # incarnation of the unit when it was let out
     confirms: list[str] = field(default_factory=list)  # directors, by name
 
--- a/ironfall/permits/terms.py
+++ b/ironfall/permits/terms.py
@@ -26,9 +26,9 @@
     margin: int = 200_000
     age: int = 600 * SECOND
     empty: int = 5 * SECOND
-    begin: int = 60 * SECOND  # granted or empty, and nothing begun
+    begin: int = 60 * SECOND  # granted, and no drain begun
     drain: int = 600 * SECOND
-    back: int = 600 * SECOND  # returning, and not seen back
+    back: int = 600 * SECOND  # returning, and not seen back; or called back, and not returned
     voices: int = 2  # directors whose word takes a host for silent
     unplanned: int = 100_000
     near: int = 900_000
@@ -45,7 +45,7 @@
     waiting: int = 1_024  # asks
     together: int = 256  # units of an ask
     open: int = 4_096  # permits
-    history: int = 4_096  # ended permits
+    history: int = 1_024  # asks that ended
     holders: int = 1_024
     hosts: int = 16_384
     directors: int = 4_096
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -223,7 +223,32 @@
     assert fleet.ask(4, "h5")["moved"][0][1] == "asked"
     fleet.ok("lift", scope="all", by="ann")
     fleet.pass_time(1)
-    assert fleet.state("h5") == "granted"
+    assert fleet.state("h5") == "granted" and not fleet.ledger.permits["host/h0"].recalled
+
+
+def test_a_holder_that_does_not_return_what_is_called_back_loses_it():
+    fleet = Fleet(Rules(**(RULES.facts() | {"budgets": RULES.budgets, "back": 20 * SECOND})))
+    token = fleet.to_out("h0", 1)
+    fleet.ok("halt", scope="tenant t", by="ann", reason="smoke")
+    fleet.pass_time(21)
+    assert fleet.state("h0") == "lost" and next(fleet.ledger.marks())[:2] == ("host/h0", "ready")
+    assert "lost" in fleet.step("back", "h0", token)["no"]
+    fleet.list({"h0": True}, token=fleet.ledger.permits["host/h0"].token)
+    assert fleet.state("h0") == "lost"  # the list alone may be old word of a host that is down
+    fleet.agents(["h0"], inc=2)
+    assert fleet.state("h0") == ""
+
+
+def test_a_mark_that_outlives_its_permit_is_ordered_off():
+    fleet = Fleet()
+    fleet.ask(1, "h0")
+    token = fleet.step("drain", "h0", fleet.ledger.permits["host/h0"].token)["ok"]["token"]
+    fleet.ok("forget", unit="host/h0", by="ann")
+    fleet.list({"h0": False}, token=token)  # it had been under way
+    (unit, mark, newer), = fleet.ledger.marks()
+    assert (unit, mark) == ("host/h0", "ready") and newer > token
+    fleet.list({"h0": True}, token=newer)
+    assert not list(fleet.ledger.marks())
 
 
 def test_own_halts_lift_themselves_ever_later_and_then_not_at_all():
@@ -345,9 +370,10 @@
  (budget fleet) (budget planet (number 1)) (budget zone (number 1)) (budget zone (number 2))
  (halt (near 120%) (often 3)) (colour 3))""")
     expected = {
-        "1:44": "k1 is named twice", "1:1": "not 2", "2:2": "above nought", "2:13": "one voice", "2:24": "drift by half",
-        "3:2": "needs (number", "3:17": "expected (budget SCOPE", "3:69": "second budget of zone",
-        "4:14": "at most 100%", "4:20": "unknown word often", "4:31": "unknown word colour",
+        "1:44": "k1 is named twice", "1:1": "not 2", "2:2": "above nought", "2:13": "one voice",
+        "2:24": "drift by half", "3:2": "needs (number", "3:17": "expected (budget SCOPE",
+        "3:69": "second budget of zone", "4:14": "at most 100%", "4:20": "unknown word often",
+        "4:31": "unknown word colour",
     }  # fmt: skip
     found = {":".join(f.split(":")[1:3]): f for f in faults}
     assert found.keys() == expected.keys() and len(faults) == len(expected)
