--- a/ironfall/permits/records.py
+++ b/ironfall/permits/records.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-OPEN = ("granted", "draining", "empty", "out", "returning", "undoing", "lost")
+# A permit is open as granted, draining, empty, out, returning, undoing or lost.
 REVERSIBLE = ("granted", "draining", "empty")
 
 
--- a/ironfall/permits/terms.py
+++ b/ironfall/permits/terms.py
@@ -138,6 +138,9 @@
     budgets: list[tuple[str, int, float]] = []
     for node in form.all("budget"):
         budgets += _budget(source, node, words, [scope for scope, _, _ in budgets])
+    for scope in ("fleet", "directors"):
+        if scope not in [s for s, _, _ in budgets]:
+            source.fault(form.node.at, f"(budget {scope} ...) is missing: without it all may be out at once")
     halt = form.form("halt", False)
     shares = {"drift": words._part, "margin": words._part}
     read = {
@@ -151,7 +154,7 @@
     }
     for name, where in (("lease", form), ("empty", form), ("voices", form), ("pause", halt)):
         if not read[name]:
-            source.fault(where.lists[name][0].at if name in where.lists else form.node.at, f"({name} ...) must be above nought")  # noqa: E501
+            source.fault(where.lists[name][0].at, f"({name} ...) must be above nought")
     if read["drift"] >= 0.5:
         source.fault(form.lists["drift"][0].at, "clocks that drift by half of the time keep no lease")
     if read["voices"] == 1:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -211,6 +211,16 @@
     assert fleet.ledger.asks["s/1/2"].short == ["strength"]
 
 
+def test_strength_of_one_class_is_none_of_another():
+    for strong, granted in ((3, True), (2, False)):  # hosts for class 1, beside those for class 0 that are plenty
+        fleet = Fleet()
+        fleet.list({f"h{n}": True for n in range(strong)}, classes=3)
+        fleet.ok("load", **{"class": 0}, hours=[20] * 24)
+        fleet.ok("load", **{"class": 1}, hours=[15] * 24)
+        assert ("granted" in str(fleet.ask(1, "h0"))) is granted
+        assert "granted" in str(fleet.ask(2, "h7"))
+
+
 def test_a_halt_takes_back_what_it_can_and_lets_nothing_begin():
     fleet = Fleet()
     fleet.to_out("h0", 1)
@@ -353,12 +363,12 @@
 def test_terms_become_the_rules_of_the_log():
     fleet, faults = fleet_of("""(fleet (keeper "k1" "127.0.0.1:1") (keeper "k2" "127.0.0.1:2")
       (keeper "k3" "127.0.0.1:3")
-      (lease 5s) (drift 1%) (budget fleet (number 20) (share 5%)) (budget directors-zone (number 1)) (margin 25%)
+      (lease 5s) (drift 1%) (budget fleet (number 20) (share 5%)) (budget directors (number 1)) (margin 25%)
       (halt (unplanned 4%) (times 2)))""")
     assert not faults and fleet.keepers[2] == ("k3", ("127.0.0.1", 3)) and fleet.times == 2
     service = terms.read_terms("charts.sexp", Path("deploy/terms/charts.sexp").read_text()).service
     rules = fleet.rules(service)
-    assert rules.budgets == (("fleet", 20, 50_000), ("directors-zone", 1, 1_000_000))
+    assert rules.budgets == (("fleet", 20, 50_000), ("directors", 1, 1_000_000))
     assert (rules.lease, rules.drift, rules.margin, rules.unplanned) == (50_000, 10_000, 250_000, 40_000)
     assert (rules.bare, rules.pace) == (service.bare_time, int(service.lines_each_second))
     assert rules_of(json.loads(json.dumps(rules.facts()))) == rules
@@ -370,11 +380,12 @@
  (budget fleet) (budget planet (number 1)) (budget zone (number 1)) (budget zone (number 2))
  (halt (near 120%) (often 3)) (colour 3))""")
     expected = {
-        "1:44": "k1 is named twice", "1:1": "not 2", "2:2": "above nought", "2:13": "one voice",
-        "2:24": "drift by half", "3:2": "needs (number", "3:17": "expected (budget SCOPE",
+        "1:44": "k1 is named twice", "1:1": "(budget directors ...) is missing", "2:2": "above nought",
+        "2:13": "one voice", "2:24": "drift by half", "3:2": "needs (number", "3:17": "expected (budget SCOPE",
         "3:69": "second budget of zone", "4:14": "at most 100%", "4:20": "unknown word often",
         "4:31": "unknown word colour",
     }  # fmt: skip
+    assert "not 2" in faults[1]  # keepers, at the same place
     found = {":".join(f.split(":")[1:3]): f for f in faults}
-    assert found.keys() == expected.keys() and len(faults) == len(expected)
+    assert found.keys() == expected.keys() and len(faults) == len(expected) + 1
     assert all(cause in found[place] for place, cause in expected.items()), faults
