Add the keeper as a process: disk, peers, clients and clocks round the agreement

Writes go to a thread of their own; a disk that fails is begun from anew, one that is lost makes its keeper another member.

--- /dev/null
+++ b/ironfall/keeper/keeper.py
@@ -0,0 +1,384 @@
+"""One keeper's life: its member of the agreement, begun from the disk, ended when the disk fails, begun again."""
+
+import json
+import random
+import time
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import gevent
+from gevent.event import AsyncResult, Event
+from gevent.threadpool import ThreadPool
+
+from ironfall.agreement import Bounds, Entry, Found, Member, Members, Outcome
+from ironfall.durable.disk import Disk
+from ironfall.keeper.clock import Clock
+from ironfall.keeper.disk import Append, Keep, Lost, Snapshot, Store, Writer
+from ironfall.keeper.machine import Machine
+from ironfall.keeper.peers import Peer, packed, unpacked
+
+SECOND = 10_000
+LEADER, FOLLOWER = "leader", "follower"
+# A leader is replaced within two seconds of its end: half a second to a second of silence, and one split vote.
+BOUNDS = Bounds(election=SECOND // 2, beat=SECOND // 10, entry=2**20, batch_bytes=2**20, log_bytes=32 * 2**20,
+                snapshot=48 * 2**20, sessions=64)  # fmt: skip
+AGAIN_FIRST, AGAIN_MOST = 0.5, 30.0  # seconds until the disk is tried again
+LOOKS = 0.15  # seconds between two looks of a blank keeper for its group
+
+
+def _bytes(text: Any) -> bytes:
+    return bytes(text.encode("latin-1"))
+
+
+# What a peer says: how each field is read. The member's method has the same name.
+SAID: dict[str, tuple[Callable[[Any], Any], ...]] = {
+    "vote_wanted": (int, int, bool, int, int),
+    "voted": (int, int, bool, bool),
+    "offered": (int, int, int, int, int, unpacked, int),
+    "took": (int, int, int, bool, int, int),
+    "part_offered": (int, int, int, int, int, int, _bytes),
+    "took_part": (int, int, int, int, int),
+    "gone_back": (int,),
+}
+
+
+class Part(Member):
+    """A member that can be kept from leading, and hands its reign over."""
+
+    barred = ""
+
+    def bar(self, why: str) -> None:
+        self.barred = why
+        if why:
+            self._lapse(why)
+
+    def woken(self) -> None:
+        if self.barred and self.role != LEADER:
+            self._draw()
+        else:
+            super().woken()
+
+    def hears(self) -> bool:
+        return self._hears()
+
+    def heir(self) -> str:
+        """Who has most of the log of those that vote."""
+        voters = [(peer.match, m) for m, peer in self.peers.items() if m in self.members.voters]
+        return max(voters, default=(0, ""))[1]
+
+    def left(self, sender: str, reign: int, heir: str) -> None:
+        """The leader goes: its voters listen to another at once, and the heir asks them."""
+        if (sender, reign) == (self.leader, self.reign) and self.role == FOLLOWER:
+            self.leader = ""
+            if heir == self.me:
+                self.due = self.way.now()
+                self.woken()
+
+
+class Keeper:
+    """The member's `Way`. `changed` is set anew at whatever may matter to one who waits."""
+
+    def __init__(self, name: str, group: Sequence[tuple[str, tuple[str, int]]], disk: Disk, chance: random.Random,
+                 log: Any, bounds: Bounds = BOUNDS, monotonic: Callable[[], float] = time.monotonic,
+                 wall: Callable[[], float] = time.time) -> None:  # fmt: skip
+        self.name, self.group, self.chance, self.log, self.bounds = name, dict(group), chance, log, bounds
+        self.monotonic, self._wall = monotonic, wall
+        self.store, self.pool, self.clock = Store(disk, name), ThreadPool(1), Clock()
+        self.peers = {n: Peer(address, chance) for n, address in group if n != name}
+        self.writer: Writer | None = None
+        self.member: Part | None = None
+        self.machine = Machine()
+        self.alarm_at, self.alarm = 1 << 62, Event()
+        self.waiting: dict[int, AsyncResult[tuple[Outcome, Any]]] = {}
+        self.reading: dict[int, Callable[[], Any]] = {}
+        self.tokens = self.number = 0
+        self.session = 0  # of this reign's leader, for what it puts into the log
+        self.seen = ("", 0, "")
+        self.barred, self.ending, self.pause = "", False, AGAIN_FIRST
+        self.changed, self.broken, self.opened = Event(), Event(), Event()
+        self.beginning: gevent.Greenlet | None = None
+        self.alarms = gevent.spawn(self._alarms)
+
+    # life
+
+    def begin(self, first: Members | None = None, renew: bool = False) -> None:
+        """From what the disk holds. Whatever was under way on it is over before it is read, for it has one thread."""
+        if self.ending or self.beginning is not None and not self.beginning.ready():
+            return
+        self.end()
+        self.beginning = gevent.spawn(self._begin, first, renew)
+
+    def end(self) -> None:
+        if self.writer is not None:
+            self.writer.stop()
+        member, self.member, self.writer = self.member, None, None
+        if member is not None and member.role == LEADER:
+            member.bar("it ends")
+            self._look(member)
+        self.alarm_at = 1 << 62
+        for token in list(self.waiting):
+            self.answer(token, Outcome.DOUBT, b"")
+
+    def _begin(self, first: Members | None, renew: bool) -> None:
+        while True:
+            try:
+                found = self.pool.apply(self._read, (first, renew))
+                break
+            except OSError as cause:
+                # Safe to try at any time: what was confirmed is read back, what was not is cut, and nothing is
+                # answered for before a write of the new beginning is durable.
+                pause = self.pause * (0.5 + self.chance.random())
+                self.pause = min(AGAIN_MOST, 2 * self.pause)
+                self.log.error("disk can't be used", cause=str(cause), again_s=round(pause, 1))
+                gevent.sleep(pause)
+        self.machine = Machine(self._applied)
+        self.writer = Writer(self.store, self.pool, self._kept, self._failed)
+        self.member = Part(self.store.identity, self.bounds, self.chance, self, self.machine, found)
+        self.member.bar(self.barred)
+        self.log.info("begun", identity=self.store.identity, reign=self.member.reign, entries=self.member.log.last,
+                      members=list(self.member.members.voters))  # fmt: skip
+        self.changed.set()
+
+    def _read(self, first: Members | None, renew: bool) -> Found:
+        """On the disk's thread."""
+        try:
+            if renew:
+                raise Lost("it is older than what was answered for")
+            found, faults = self.store.open()
+        except FileNotFoundError:
+            return self.store.begin()
+        except Lost as lost:
+            self.log.error("disk lost", cause=str(lost), then="a new incarnation, to be added by an operator")
+            return self.store.begin()
+        for fault in faults:
+            self.log.warning("disk mended", fault=fault)
+        if first is not None and not found.snapshot and not found.first.voters:
+            return self.store.begin(first, found.entries)
+        return found
+
+    @property
+    def blank(self) -> bool:
+        """Of no group yet, as far as it knows."""
+        return self.member is not None and not self.member.members.all and not self.member.log.last
+
+    def _failed(self, cause: str) -> None:
+        pause = self.pause * (0.5 + self.chance.random())
+        self.pause = min(AGAIN_MOST, 2 * self.pause)
+        self.log.error("disk failed", cause=cause, again_s=round(pause, 1))
+        self._tell("disk_failed", cause)
+        gevent.spawn_later(pause, self.begin)
+
+    def _kept(self, number: int) -> None:
+        self.pause = AGAIN_FIRST
+        self._tell("kept", number)
+
+    # the member is told, and what came of it is looked at
+
+    def _tell(self, what: str, *about: Any) -> None:
+        member = self.member
+        if member is None:
+            return
+        try:
+            getattr(member, what)(*about)
+        except Exception as wrong:
+            # What must hold does not: better no keeper than one that goes on.
+            self.log.error("broken", told=what, cause=repr(wrong), exc_info=True)
+            self.ending = True
+            self.end()
+            self.broken.set()
+            return
+        self._look(member)
+
+    def _look(self, member: Part) -> None:
+        now = (member.role if member.role == LEADER else FOLLOWER, member.reign, member.leader)
+        if now == self.seen:
+            return
+        before, self.seen = self.seen, now
+        role, reign, leader = now
+        if role == LEADER and before[:2] != (LEADER, reign):
+            self.session, self.number = 0, 0
+            self.opened.clear()
+            self.log.info("leads", reign=reign, entries=member.log.last)
+            gevent.spawn(self._open, reign)
+        elif role == FOLLOWER and leader and (reign, leader) != before[1:]:
+            self.log.info("follows", reign=reign, leader=leader)
+        self.changed.set()
+
+    def _applied(self, index: int, answer: bytes) -> None:
+        if self.member is not None and self.member.role == LEADER and b'"moved"' in answer:
+            for unit, *about in json.loads(answer)["moved"]:
+                self.log.info("moved", index=index, unit=unit, to=about)
+        self.changed.set()
+
+    def said(self, messages: Any) -> None:
+        """By peers. Raises `ValueError`, `TypeError`, `KeyError` or `AttributeError` for what is none."""
+        for message in messages:
+            sender, what, about = message["from"], message["what"], message["about"]
+            if message["to"] != self.store.identity or sender.partition("/")[0] not in self.peers:
+                continue  # an earlier incarnation's, or nobody's
+            self.clock.heard(sender, int(message["at"]), self.now())
+            if what == "left" and self.member is not None:
+                self._tell("left", sender, *about)
+            elif what in SAID:
+                kinds = SAID[what]
+                self._tell(what, sender, *(kind(one) for kind, one in zip(kinds, about, strict=True)))
+
+    def _alarms(self) -> None:
+        while True:
+            wait = (self.alarm_at - self.now()) / SECOND
+            if wait <= 0:
+                self.alarm_at = self.now() + self.bounds.election
+                self._tell("woken")
+            elif not self.alarm.wait(min(wait, 60.0)):
+                continue
+            self.alarm.clear()
+
+    # the way
+
+    def now(self) -> int:
+        return int(self.monotonic() * SECOND)
+
+    def wall(self) -> int:
+        return int(self._wall() * SECOND)
+
+    def wake(self, wait: int) -> None:
+        self.alarm_at = self.now() + max(1, wait)
+        self.alarm.set()
+
+    def _send(self, to: str, what: str, about: Sequence[Any], size: int = 0) -> None:
+        if peer := self.peers.get(to.partition("/")[0]):
+            peer.said({"from": self.store.identity, "to": to, "what": what, "about": about, "at": self.wall()}, size)
+
+    def want_vote(self, to: str, *about: Any) -> None:
+        self._send(to, "vote_wanted", about)
+
+    def vote(self, to: str, *about: Any) -> None:
+        self._send(to, "voted", about)
+
+    def offer(self, to: str, boots: int, reign: int, beat: int, before: int, last: int, entries: Sequence[Entry],
+              commit: int) -> None:  # fmt: skip
+        size = sum(e.size for e in entries)
+        self._send(to, "offered", (boots, reign, beat, before, last, packed(entries), commit), size)
+
+    def took(self, to: str, *about: Any) -> None:
+        self._send(to, "took", about)
+
+    def offer_part(self, to: str, boots: int, reign: int, beat: int, index: int, start: int, size: int,
+                   part: bytes) -> None:  # fmt: skip
+        self._send(to, "part_offered", (boots, reign, beat, index, start, size, part.decode("latin-1")), len(part))
+
+    def took_part(self, to: str, *about: Any) -> None:
+        self._send(to, "took_part", about)
+
+    def gone_back(self, to: str, boots: int) -> None:
+        self._send(to, "gone_back", (boots,))
+
+    def keep(self, number: int, boots: int, reign: int, vote: str) -> None:
+        if self.writer is not None:
+            self.writer.put(number, Keep(boots, reign, vote))
+
+    def append(self, number: int, index: int, entries: Sequence[Entry]) -> None:
+        if self.writer is not None:
+            self.writer.put(number, Append(index, list(entries)))
+
+    def keep_snapshot(self, number: int, index: int, snapshot: bytes, entries: Sequence[Entry]) -> None:
+        if self.writer is not None:
+            self.writer.put(number, Snapshot(index, snapshot, list(entries)))
+
+    def forsake(self) -> None:
+        gevent.spawn(self.begin, None, True)
+
+    def answer(self, token: int, outcome: Outcome, answer: bytes) -> None:
+        read, waiter = self.reading.pop(token, None), self.waiting.pop(token, None)
+        if waiter is not None:
+            waiter.set((outcome, read() if outcome is Outcome.READ and read else answer))
+
+    def say(self, what: str) -> None:
+        self.log.info("agreement", said=what)
+
+    # what is asked of it
+
+    def call(self, what: str, seconds: float, *about: Any, read: Callable[[], Any] | None = None
+             ) -> tuple[Outcome, Any]:  # fmt: skip
+        """Told to the member, and waited for. The member's own bounds hold for how many may wait."""
+        if self.member is None:
+            return Outcome.AWAY, b""
+        if self.now() > self.alarm_at + self.bounds.beat:
+            self._tell("woken")  # this process stood still: first of all, does it still lead?
+        self.tokens += 1
+        token = self.tokens
+        waiter: AsyncResult[tuple[Outcome, Any]] = AsyncResult()
+        self.waiting[token] = waiter
+        if read is not None:
+            self.reading[token] = read
+        self._tell(what, token, *about)
+        try:
+            outcome, answer = waiter.get(timeout=seconds)
+            return outcome, answer
+        except gevent.Timeout:
+            return Outcome.DOUBT, b""
+        finally:
+            self.waiting.pop(token, None)
+            self.reading.pop(token, None)
+
+    def _open(self, reign: int) -> None:
+        """The agreement's session of this reign: askers have their own in the machine, and this one is the leader's."""
+        while self.seen[:2] == (LEADER, reign) and not self.session:
+            outcome, answer = self.call("open", 5.0)
+            if self.seen[:2] == (LEADER, reign) and outcome is Outcome.DONE:
+                self.session = int(answer)
+                self.opened.set()
+            else:
+                gevent.sleep(0.05)
+
+    def ask(self, asker: str, number: int, entry: dict[str, Any], seconds: float) -> tuple[Outcome, bytes]:
+        """Into the log, under the log's time. `asker` nobody: the leader's own, which it never says twice."""
+        member = self.member
+        if member is None or member.role != LEADER:
+            return Outcome.AWAY, member.leader.encode() if member else b""
+        self.look_at_clock()
+        if not self.opened.wait(min(seconds, 1.0)) or self.member is not member or not self.session:
+            return Outcome.BUSY, b""  # a reign that has only begun, or is over by now
+        at = max(self.wall(), self.machine.ledger.now)
+        body = json.dumps({**entry, "at": at}, separators=(",", ":")).encode()
+        self.number += 1
+        data = Machine.entry(asker, number, body)
+        return self.call("ask", seconds, self.session, self.number, data)
+
+    def look_at_clock(self) -> None:
+        member = self.member
+        if member is None:
+            return
+        why = self.clock.off(self.wall(), self.now(), self.machine.ledger.now, len(member.members.voters))
+        if bool(why) != bool(self.barred):
+            self.barred = why
+            self.log.warning("clock off" if why else "clock good again", **({"cause": why} if why else {}))
+            member.bar(why)
+            self._look(member)
+
+    def tell_clocks(self) -> None:
+        member = self.member
+        for to in member.members.all if member else ():
+            if to != member.me:  # type: ignore[union-attr]
+                self._send(to, "clock", ())
+
+    def leave(self) -> None:
+        """Hands its reign over, if it has one; what waits is in doubt, and is asked again of the next."""
+        self.ending = True
+        member = self.member
+        if member is not None and member.role == LEADER:
+            heir, reign = member.heir(), member.reign
+            for to in member.members.voters:
+                if to != member.me:
+                    self._send(to, "left", (reign, heir))
+            member.bar("it ends")
+            self._look(member)
+            until = self.monotonic() + 0.3
+            while any(p.queue for p in self.peers.values()) and self.monotonic() < until:
+                gevent.sleep(0.005)
+            gevent.sleep(0.02)
+        self.end()
+        self.alarms.kill(block=False)
+        for peer in self.peers.values():
+            peer.stop()
+
--- /dev/null
+++ b/ironfall/keeper/server.py
@@ -0,0 +1,185 @@
+"""What a keeper answers: peers, and clients of the fleet's log. JSON by HTTP; docs/keepers.md has the paths."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from ironfall.agreement import Outcome
+from ironfall.api.http import Answer, HttpClient, Refused, Request
+from ironfall.keeper.keeper import Keeper
+from ironfall.keeper.machine import FORGOTTEN, FULL
+
+ASK_TIME = 5.0  # seconds until an ask is answered with doubt
+LOOK_TIME = 3.0
+MARKS_TIME = 30.0  # the longest a poll of marks is held
+POLLS = 2048  # of marks, held at once
+ASKERS = 128  # characters of a name
+# Many entries may be applied while marks are polled for: they are looked at again no sooner than this.
+MARKS_EVERY = 0.02
+
+
+def _answer(status: int, told: Any, retry: bool = False) -> Answer:
+    headers = {"Content-Type": "application/json"} | ({"Retry-After": "1"} if retry else {})
+    return Answer(status, json.dumps(told, separators=(",", ":")).encode() + b"\n", headers)
+
+
+class Api:
+    def __init__(self, keeper: Keeper) -> None:
+        self.keeper = keeper
+        self.polls = 0
+        self.marked: tuple[int, Any] = (0, None)  # what the marks are, and since which index
+        self.marked_at = -1
+        self.routes: dict[tuple[str, str], Callable[[Request], Answer]] = {
+            ("POST", "/v1/peer/said"): self._said,
+            ("GET", "/v1/peer/who"): self._who,
+            ("POST", "/v1/fleet/entries"): self._entries,
+            ("POST", "/v1/fleet/members"): self._members,
+            ("GET", "/v1/fleet/look"): self._look,
+            ("GET", "/v1/fleet/marks"): self._marks,
+        }
+
+    def handle(self, request: Request) -> Answer:
+        route = self.routes.get((request.method, request.path))
+        if route is None:
+            known = request.path in (path for _, path in self.routes)
+            raise Refused(405 if known else 404, f"no {request.method} {request.path} here")
+        if self.keeper.ending and not request.path.startswith("/v1/peer/"):
+            return _answer(503, {"why": "this keeper is stopping; turn to another"}, True)
+        return route(request)
+
+    def _body(self, request: Request) -> Any:
+        try:
+            return json.loads(bytes(request.body))
+        except (ValueError, RecursionError) as wrong:
+            raise Refused(400, f"the body is no JSON: {wrong}") from None
+
+    # peers
+
+    def _said(self, request: Request) -> Answer:
+        try:
+            self.keeper.said(self._body(request))
+        except (ValueError, TypeError, KeyError, AttributeError) as wrong:
+            raise Refused(400, f"not what a keeper says: {type(wrong).__name__} {wrong}") from None
+        return Answer(204)
+
+    def _who(self, request: Request) -> Answer:
+        keeper, member = self.keeper, self.keeper.member
+        if member is None:
+            return _answer(503, {"why": "its disk can't be used"}, True)
+        return _answer(200, {"identity": member.me, "blank": keeper.blank, "first": keeper.store.first.plain(),
+                             "reign": member.reign, "leader": member.leader, "index": member.commit})  # fmt: skip
+
+    # clients
+
+    def _away(self, leader: bytes | str) -> Answer:
+        name = (leader.decode() if isinstance(leader, bytes) else leader).partition("/")[0]
+        if name in self.keeper.group and name != self.keeper.name:
+            host, port = self.keeper.group[name]
+            return _answer(421, {"leader": name, "address": f"{host}:{port}"})
+        return _answer(503, {"why": "no leader is known here"}, True)
+
+    def _outcome(self, outcome: Outcome, answer: Any) -> Answer:
+        """What is not done."""
+        if outcome is Outcome.AWAY:
+            return self._away(answer)
+        if outcome is Outcome.DOUBT:
+            return _answer(409, {"why": "doubt"})
+        if outcome is Outcome.FULL:
+            return _answer(429, {"why": "full"}, True)
+        if outcome is Outcome.LARGE:
+            return _answer(400, {"why": f"an entry has at most {self.keeper.bounds.entry} bytes"})
+        return _answer(503, {"why": self.keeper.barred or outcome.value}, True)
+
+    def _entries(self, request: Request) -> Answer:
+        told = self._body(request)
+        if not isinstance(told, dict) or set(told) != {"asker", "number", "entry"}:
+            raise Refused(400, "expected an object of asker, number and entry")
+        asker, number, entry = told["asker"], told["number"], told["entry"]
+        if not isinstance(asker, str) or not 0 < len(asker) <= ASKERS or not asker.isprintable():
+            raise Refused(400, f"asker: expected a text of up to {ASKERS} characters")
+        if type(number) is not int or not 0 < number < 1 << 53:
+            raise Refused(400, "number: expected a whole number from 1 up")
+        if not isinstance(entry, dict) or not isinstance(entry.get("k"), str):
+            raise Refused(400, "entry: expected an object with its kind as k")
+        outcome, answer = self.keeper.ask(asker, number, entry, ASK_TIME)
+        if outcome is not Outcome.DONE:
+            return self._outcome(outcome, answer)
+        if answer == FORGOTTEN:
+            return _answer(410, {"why": "forgotten"})
+        if answer == FULL:
+            return self._outcome(Outcome.FULL, b"")
+        index, _, said = answer.partition(b"\n")
+        return Answer(200, b'{"index":%s,"answer":%s}\n' % (index, said), {"Content-Type": "application/json"})
+
+    def _seen(self) -> dict[str, Any]:
+        member, ledger = self.keeper.member, self.keeper.machine.ledger
+        assert member is not None
+        return {"index": member.commit, "reign": member.reign, "leader": member.leader.partition("/")[0],
+                "members": member.members.plain(), "ledger": ledger.look()}  # fmt: skip
+
+    def _look(self, request: Request) -> Answer:
+        keeper, member = self.keeper, self.keeper.member
+        if request.number("here", 0):
+            if member is None:
+                return _answer(200, {"role": "none", "why": "its disk can't be used"})
+            role = "stranger" if member.me not in member.members.all else member.role
+            age = 0 if role == "leader" else max(0, keeper.now() - member.heard)
+            return _answer(200, {**self._seen(), "role": role, "age": age, "identity": member.me,
+                                 "off": keeper.barred, "failed": member.failed})  # fmt: skip
+        outcome, answer = keeper.call("read", LOOK_TIME, read=self._seen)
+        return _answer(200, answer) if outcome is Outcome.READ else self._outcome(outcome, answer)
+
+    def _marks(self, request: Request) -> Answer:
+        after, wait = request.number("after", 0), min(MARKS_TIME, max(0, request.number("wait", 0)) / 1000)
+        if self.polls >= POLLS:
+            return _answer(429, {"why": "full"}, True)
+        self.polls += 1
+        try:
+            until = self.keeper.monotonic() + wait
+            while True:
+                member = self.keeper.member
+                if member is None or not member.hears() or self.keeper.ending:
+                    return _answer(503, {"why": "no leader is heard here"}, True)
+                since, marks = self._now_marked(member.commit)
+                left = until - self.keeper.monotonic()
+                if since > after or left <= 0:
+                    return _answer(200, {"index": member.commit, "marks": marks})
+                # A leader that falls silent sets nothing: looked for each while.
+                request.hold(self.keeper.changed, min(left, self.keeper.bounds.election / 10_000))
+                self.keeper.changed.clear()
+                gevent.sleep(MARKS_EVERY)
+        finally:
+            self.polls -= 1
+
+    def _now_marked(self, index: int) -> tuple[int, Any]:
+        if index != self.marked_at:
+            self.marked_at = index
+            marks = list(self.keeper.machine.ledger.marks())
+            if marks != self.marked[1]:
+                self.marked = index, marks
+        return self.marked
+
+    def _members(self, request: Request) -> Answer:
+        """A keeper whose disk was lost, by the incarnation it has now, in place of the one it had."""
+        told, keeper = self._body(request), self.keeper
+        name = told.get("replace") if isinstance(told, dict) else None
+        if name not in keeper.group or name == keeper.name:
+            raise Refused(400, f"replace: expected another keeper of {', '.join(keeper.group)}")
+        member = keeper.member
+        if member is None or member.role != "leader":
+            return self._away(member.leader if member else "")
+        try:
+            who = json.loads(HttpClient(keeper.group[name]).call("GET", "/v1/peer/who", 2.0).body)["identity"]
+        except (OSError, ValueError, KeyError, TypeError) as wrong:
+            return _answer(503, {"why": f"{name} does not say who it is: {wrong}"}, True)
+        if not isinstance(who, str) or who.partition("/")[0] != name:
+            return _answer(503, {"why": f"{name} says that it is {who}"}, True)
+        former = [m for m in member.members.all if m.partition("/")[0] == name and m != who]
+        steps = [("remove", one) for one in former] + ([("add", who)] if who not in member.members.all else [])
+        for what, one in steps:
+            outcome, answer = keeper.call(what, ASK_TIME, one)
+            if outcome not in (Outcome.DONE, Outcome.NEEDLESS):
+                return self._outcome(outcome, answer)
+        return _answer(200, {"identity": who, "replaced": former})
