--- a/ironfall/permits/ledger.py
+++ b/ironfall/permits/ledger.py
@@ -3,7 +3,6 @@
 import json
 from collections import OrderedDict
 from collections.abc import Iterator
-from dataclasses import asdict
 from typing import Any
 
 from ironfall.permits.entries import Refused, decode
@@ -35,7 +34,7 @@
 
     def snapshot(self) -> bytes:
         def all_of(table: dict[str, Any]) -> list[Any]:
-            return [[name, asdict(one)] for name, one in table.items()]
+            return [[name, {field: getattr(one, field) for field in one.__slots__}] for name, one in table.items()]
 
         return _packed({
             "index": self.index, "now": self.now, "beat": self.beat, "agreed": self.agreed,
