Add the keepers' client end and the operators' verbs for the fleet

An ask is numbered once and said to one keeper after another until it is known what came of it; the verbs halt, lift, look, ask, and take in a keeper that lost its disk.

--- a/ironfall/cli/fleet.py
+++ b/ironfall/cli/fleet.py
@@ -1,13 +1,18 @@
 """`ironfall keeper`, and `ironfall fleet`: what operators see and say of what is agreed."""
 
+import getpass
+import json
 import sys
 from pathlib import Path
+from typing import Any
 
 import click
 import structlog
 
 from ironfall.cli.common import FILE, main, terms_from
 
+WAIT = 6.0  # seconds that a verb tries
+
 
 @main.command()
 @click.argument("file", type=FILE)
@@ -36,3 +41,146 @@
         click.echo(f"can't start: {cause}", err=True)
         sys.exit(1)
     sys.exit(program.wait())
+
+
+@main.group()
+def fleet() -> None:
+    """What the keepers agreed on: look, ask, halt, lift. Exit 0 done, 1 refused, 2 usage, 3 nobody answers."""
+
+
+def _user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):  # a container may have no such name
+        return "operator"
+
+
+def _keepers(file: Path) -> Any:
+    import random
+
+    from ironfall.keeper.client import Keepers
+
+    terms = terms_from(file).fleet
+    if not terms.keepers:
+        raise click.BadParameter("these terms have no (fleet ...) with keepers", param_hint="FILE")
+    return Keepers(terms.keepers, f"operator {_user()}", random.Random())
+
+
+def _ended(heard: Any) -> None:
+    """Exit by what came of it; nothing where it was done."""
+    if heard.no:
+        click.echo(f"refused: {heard.no}", err=True)
+        sys.exit(1)
+    if heard.why:
+        click.echo(f"{heard.why}: {heard.text}", err=True)
+        sys.exit(1 if heard.why in ("refused", "forgotten") else 3)
+
+
+def _put(file: Path, entry: dict[str, Any]) -> Any:
+    heard = _keepers(file).ask(entry, WAIT)
+    _ended(heard)
+    return heard.told
+
+
+@fleet.command("look")
+@click.argument("file", type=FILE)
+@click.option("--json", "plain", is_flag=True, help="All of it, as the keepers tell it.")
+def fleet_look(file: Path, plain: bool) -> None:
+    """Show what stands: who leads, halts, what is out and what waits.
+
+    Where no majority answers: what each keeper says by itself, and exit 3.
+    """
+    keepers = _keepers(file)
+    heard = keepers.look(WAIT)
+    if heard.why:
+        click.echo(f"no majority answers: {heard.text}", err=True)
+        for name in keepers.keepers:
+            one = keepers.here(name)
+            click.echo(f"{name}: {one.text or _of_itself(one.told)}")
+        sys.exit(3)
+    if plain:
+        click.echo(json.dumps(heard.told))
+        return
+    told, ledger = heard.told, heard.told["ledger"]
+    voters, learners = told["members"]
+    click.echo(f"{told['leader']} leads reign {told['reign']}, entry {told['index']}; members: {', '.join(voters)}"
+               + (f"; learning: {', '.join(learners)}" if learners else ""))  # fmt: skip
+    for scope, halt in ledger["halts"].items():
+        click.echo(f"halt     {scope} by {halt['by']}: {halt['reason']}")
+    for unit, permit in ledger["permits"].items():
+        click.echo(f"permit   {unit} {permit['state']}, held by {permit['holder']}, token {permit['token']}")
+    for ask, waits in ledger["asks"].items():
+        click.echo(f"waits    {ask}: {', '.join(waits['units'])}; short: {', '.join(waits['short'])}")
+    for scope, (total, out, unplanned, limit) in ledger["scopes"].items():
+        if out or scope in ("fleet", "directors"):
+            click.echo(f"out      {scope}: {out} of {total}, {unplanned} of them unplanned; at most {limit}")
+
+
+def _of_itself(told: dict[str, Any]) -> str:
+    if "index" not in told:
+        return str(told.get("why", "says nothing of itself"))
+    why = told["failed"] or told["off"]
+    return f"{told['role']}, reign {told['reign']}, entry {told['index']}" + (f"; {why}" if why else "")
+
+
+@fleet.command("ask")
+@click.argument("file", type=FILE)
+@click.argument("entry")
+def fleet_ask(file: Path, entry: str) -> None:
+    """Put one ENTRY, a JSON object, to the ledger and show its answer; docs/fleet-ledger.md has the kinds.
+
+    \b
+    Example:
+      ironfall fleet ask deploy/terms/fleet.sexp '{"k": "forget", "unit": "host/h7", "by": "night shift"}'
+    """
+    try:
+        held = json.loads(entry)
+    except ValueError as wrong:
+        raise click.BadParameter(f"no JSON: {wrong}", param_hint="ENTRY") from None
+    if not isinstance(held, dict):
+        raise click.BadParameter("expected an object", param_hint="ENTRY")
+    told = _put(file, held)
+    click.echo(f"entry {told['index']}: {json.dumps(told['answer'])}")
+
+
+BY = click.option("--by", default=_user, help="Who says so; the user's name if left out.")
+SCOPE = click.argument("scope")
+
+
+@fleet.command("halt")
+@click.argument("file", type=FILE)
+@SCOPE
+@click.option("--reason", required=True)
+@BY
+def fleet_halt(file: Path, scope: str, reason: str, by: str) -> None:
+    """Let nothing begin in SCOPE (all, "zone NAME", "tenant NAME", "release NAME"), and call back what can be.
+
+    \b
+    Example:
+      ironfall fleet halt deploy/terms/fleet.sexp "zone east" --reason "power work"
+    """
+    told = _put(file, {"k": "halt", "scope": scope, "by": by, "reason": reason})
+    click.echo(f"entry {told['index']}: {scope} is halted, for who is cut off within a lease")
+
+
+@fleet.command("lift")
+@click.argument("file", type=FILE)
+@SCOPE
+@BY
+def fleet_lift(file: Path, scope: str, by: str) -> None:
+    """Lift the halt of SCOPE."""
+    told = _put(file, {"k": "lift", "scope": scope, "by": by})
+    click.echo(f"entry {told['index']}: {scope} is halted no more")
+
+
+@fleet.command("replace")
+@click.argument("file", type=FILE)
+@click.argument("keeper")
+def fleet_replace(file: Path, keeper: str) -> None:
+    """Take in KEEPER, which came with a blank disk, in place of the member it was."""
+    keepers = _keepers(file)
+    if keeper not in keepers.keepers:
+        raise click.BadParameter(f"expected one of {', '.join(keepers.keepers)}", param_hint="KEEPER")
+    heard = keepers.replace(keeper)
+    _ended(heard)
+    click.echo(f"{heard.told['identity']} is a member; gone: {', '.join(heard.told['replaced']) or 'none'}")
--- a/ironfall/keeper/server.py
+++ b/ironfall/keeper/server.py
@@ -78,7 +78,7 @@
         if name in self.keeper.group and name != self.keeper.name:
             host, port = self.keeper.group[name]
             return _answer(421, {"leader": name, "address": f"{host}:{port}"})
-        return _answer(503, {"why": "no leader is known here"}, True)
+        return _answer(503, {"why": self.keeper.barred or "no leader is known here"}, True)
 
     def _outcome(self, outcome: Outcome, answer: Any) -> Answer:
         """What is not done."""
