--- a/ironfall/lab/permits_sim.py
+++ b/ironfall/lab/permits_sim.py
@@ -62,6 +62,7 @@
 class SimHolder:
     inc: int = 1
     alive: bool = True
+    cut: bool = False  # its leases are not renewed, and its steps come through
     number: int = 0
     tokens: dict[str, int] = field(default_factory=dict)  # former ones, to send again
     until: dict[str, int] = field(default_factory=dict)  # work's end, by unit
@@ -156,7 +157,7 @@
             if not director.alive and not director.stopped:
                 self.rise(name, director)
         for name, holder in self.holders.items():
-            holder.alive = self.chance.random() < 0.3
+            holder.alive, holder.cut = self.chance.random() < 0.3, False
             if holder.alive and not self.ledger.holders.get(name):
                 holder.alive = False
 
@@ -178,7 +179,9 @@
             self.fall(name, director) if director.alive else self.rise(name, director)
         if pick.random() < 0.05:
             name, holder = pick.choice(list(self.holders.items()))
-            if holder.alive:
+            if holder.alive and not holder.cut and pick.random() < 0.5:
+                holder.cut = True
+            elif holder.alive:
                 holder.alive = False
             else:
                 self.holders[name] = SimHolder(holder.inc + 1)
@@ -266,7 +269,7 @@
 
     def work(self, name: str, holder: SimHolder) -> None:
         pick = self.chance
-        if pick.random() < 0.6 or name not in self.ledger.holders:
+        if not holder.cut and (pick.random() < 0.6 or name not in self.ledger.holders):
             self.send("hold", holder=name, inc=holder.inc)
         if not self.calm and pick.random() < 0.15:
             units = [f"host/{h}" for h in pick.sample(list(self.hosts), pick.choice([1, 1, 1, 2, 3]))]
@@ -282,7 +285,7 @@
                 continue
             if permit.state == "lost" and permit.incarnation != holder.inc and pick.random() < 0.3:
                 self.send("adopt", holder=name, inc=holder.inc, unit=unit)
-            token = holder.tokens.get(unit, 0) if not self.calm and pick.random() < 0.05 else permit.token
+            token = holder.tokens.get(unit, 0) if not self.calm and pick.random() < 0.1 else permit.token
             holder.tokens[unit] = permit.token
             step = {"granted": "drain", "draining": "out", "empty": "out", "out": "back"}.get(permit.state)
             if step == "out" and permit.state == "draining" and pick.random() < 0.9:
