--- a/ironfall/permits/ledger.py
+++ b/ironfall/permits/ledger.py
@@ -218,10 +218,12 @@
         before, director.took = director.took, {d: pair for d, pair in word["took"].items() if d in self.directors}
         self._count_director(name, 1)
         drained = {host: token for host, token in word["drained"].items() if "host/" + host in self.permits}
-        for host in sorted(set(director.drained) | set(drained)):
+        # Most words repeat what was confirmed: what is the same was counted when it was first said.
+        fresh = {host for host, _ in director.drained.items() ^ drained.items()}
+        for host in sorted(fresh):
             if permit := self.permits.get("host/" + host):
                 self._confirm(name, permit, drained.get(host, 0))
-        touched = {"director/" + name, *("host/" + host for host in (*director.drained, *drained))}
+        touched = {"director/" + name, *("host/" + host for host in fresh)}
         director.drained = drained
         silent = sorted(host for host in set(word["silent"]) if host in self.hosts)
         for host in sorted(set(director.silent) ^ set(silent)):
