--- a/ironfall/keeper/client.py
+++ b/ironfall/keeper/client.py
@@ -16,7 +16,9 @@
 from ironfall.api.http import Answer, HttpClient
 
 CONNECT = 0.3  # seconds
-ONCE = 6.0  # the longest that one try is waited for; a keeper answers doubt before that
+# One try's first and longest patience: a keeper that was stopped takes connections and answers none, while another has
+# long been leading; and one whose disk is slow is not helped by many askings. Doubt is answered before 6 s.
+SOON, LATE = 1.0, 6.0
 FIRST, MOST = 0.05, 1.0  # seconds between tries, before jitter
 ANSWER_MOST = 1 << 26
 
@@ -186,16 +188,18 @@
                judge: Callable[[Answer, dict[str, Any]], Heard | None] = lambda answer, told: None,
                ) -> tuple[Heard, bool]:  # fmt: skip
         """Until one answers for good or the time is up; and whether a try may have come through unseen."""
-        wait, last, cut, full, follow = FIRST, "no keeper was asked", False, False, 0
+        wait, patience, last, cut, full, follow = FIRST, SOON, "no keeper was asked", False, False, 0
         while (left := until - self.monotonic()) > 0:
             name = self.leader if self.leader in self.keepers else self.order[0]
-            answer, heard = self._try(lines, name, method, path, body, min(ONCE, left))
+            answer, heard = self._try(lines, name, method, path, body, min(patience, left))
             if not heard.why:
                 self.leader = name
                 return heard, cut
             last, self.leader = heard.text, ""
             cut = cut or heard.why == "cut"
-            if answer is not None:
+            if answer is None:
+                patience = min(LATE, 1.5 * patience)
+            else:
                 if (found := judge(answer, heard.told)) is not None:
                     return found, cut
                 if answer.status in (400, 404, 405, 413, 431):
--- a/ironfall/keeper/disk.py
+++ b/ironfall/keeper/disk.py
@@ -79,10 +79,10 @@
     def open(self) -> tuple[Found, list[str]]:
         """What was there, and what was said of it. Raises `Lost`, and `FileNotFoundError` for a blank disk."""
         self.journal = Journal(self.disk)
-        names = [n for n in self.disk.names() if n.partition(".")[0].isdigit()]
-        if not names:
+        newest = self._newest()
+        if not newest:
             raise FileNotFoundError("the disk is blank")
-        self._look_for_losses(names)
+        self._look_for_losses(newest)
         found = self.journal.open()
         if found.snapshot is None:
             raise Lost("; ".join(found.faults) or "its snapshot can't be read")
@@ -107,10 +107,10 @@
                 entries[index - base - 1 :] = more
         return Found(*self.standing, snapshot, entries, self.first), found.faults
 
-    def _look_for_losses(self, names: list[str]) -> None:
+    def _look_for_losses(self, newest: int) -> None:
         """What is older than the newest snapshot doesn't count. A journal without it, and a whole record behind a
         garbled one, were confirmed: to go on from what is left would be to go back."""
-        newest = self._newest(names)
+        names = self.disk.names()
         if f"{newest}.snapshot" not in names:
             raise Lost(f"{newest}.snapshot is not there")
         _, _, fault = unseal(self.disk.read(f"{newest}.snapshot"))
@@ -122,9 +122,10 @@
             if fault and _whole_behind(data, at):
                 raise Lost(f"{newest}.journal: {fault}, and whole records after it")
 
-    @staticmethod
-    def _newest(names: list[str]) -> int:
-        return max((int(n.partition(".")[0]) for n in names if n.endswith((".snapshot", ".journal"))), default=0)
+    def _newest(self) -> int:
+        """The generation; nought: none. What was only being written when it died is none."""
+        parts = [n.partition(".") for n in self.disk.names()]
+        return max((int(n) for n, _, kind in parts if n.isdigit() and kind in ("snapshot", "journal")), default=0)
 
     def begin(self, first: Members | None = None, entries: Sequence[Entry] = ()) -> Found:
         """Anew, as another incarnation; with `first`, as the same: it has heard who its group began with."""
@@ -132,7 +133,7 @@
         if first is None:
             self.incarnation, self.standing = secrets.token_hex(4), Keep(0, 0, "")
         self.first = first or Members()
-        self.journal.generation = self._newest([n for n in self.disk.names() if n.partition(".")[0].isdigit()])
+        self.journal.generation = self._newest()
         self._snapshot(Snapshot(0, b"", entries))
         return Found(*self.standing, entries=list(entries), first=self.first)
 
@@ -142,6 +143,9 @@
                 "entries": _plain(write.entries)}  # fmt: skip
         self.journal.snapshot(b"".join((json.dumps(head).encode(), b"\n", write.snapshot,
                                         *(e.data for e in write.entries))))  # fmt: skip
+        # The journal takes a snapshot for done once it has its name: the name must be durable too, for a vote may
+        # stand nowhere else.
+        self.disk.sync(f"{self.journal.generation}.snapshot")
 
     def write(self, writes: Sequence[Write]) -> None:
         """All durable when this returns."""
--- a/ironfall/keeper/keeper.py
+++ b/ironfall/keeper/keeper.py
@@ -378,6 +378,7 @@
                 gevent.sleep(0.005)
             gevent.sleep(0.02)
         self.end()
+        self.changed.set()
         self.alarms.kill(block=False)
         for peer in self.peers.values():
             peer.stop()
--- /dev/null
+++ b/tests/keepers.py
@@ -0,0 +1,107 @@
+"""Keepers as processes of the program, on loopback, with their disks in a folder of the test's."""
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import gevent
+
+from ironfall.keeper.client import Keepers
+from ironfall.terms import read_terms
+
+ROOT = Path(__file__).parent.parent
+TERMS = ROOT / "deploy" / "terms" / "fleet.sexp"
+
+
+def until(true, seconds=10.0):
+    """What holds at last; fails when nothing does within a time far longer than it takes."""
+    with gevent.Timeout(seconds, AssertionError("it did not come about in time")):
+        while not (found := true()):
+            gevent.sleep(0.01)
+    return found
+
+
+def free_ports(count):
+    holders = [socket.socket() for _ in range(count)]
+    for one in holders:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in holders]
+    for one in holders:
+        one.close()
+    return ports
+
+
+def terms_with(count):
+    """The example's text, with as many keepers at free ports."""
+    text, ports = TERMS.read_text(), free_ports(count)
+    for n in (1, 2, 3):
+        line = f'(keeper "k{n}" "127.0.0.1:781{n}")'
+        text = text.replace(line, line.replace(f"781{n}", str(ports[n - 1])) if n <= count else "")
+    return text
+
+
+class Group:
+    def __init__(self, folder, count=3):
+        self.folder, self.file = folder, folder / "fleet.sexp"
+        self.file.write_text(terms_with(count))
+        self.keepers = read_terms(str(self.file), self.file.read_text()).fleet.keepers
+        self.names = [name for name, _ in self.keepers]
+        self.processes, self.askers = {}, []
+        self.looker = self.asker("looker")
+
+    def __enter__(self):
+        for n, name in enumerate(self.names):
+            self.start(name, "--found", "--seed", str(n))
+        self.leader()
+        return self
+
+    def __exit__(self, *_):
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        for one in self.askers:
+            one.close()
+
+    def start(self, name, *options):
+        command = [sys.executable, "-m", "ironfall", "--log", "json", "keeper", str(self.file), "--name", name,
+                   "--disk", str(self.disk(name)), *options]  # fmt: skip
+        with open(self.folder / f"{name}.log", "a") as log:
+            self.processes[name] = subprocess.Popen(command, stderr=log, cwd=ROOT)
+
+    def disk(self, name):
+        return self.folder / name
+
+    def kill(self, name):
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def signal(self, name, which):
+        os.kill(self.processes[name].pid, getattr(signal, which))
+
+    def told(self, name, event):
+        """What its log says of an event, over all of its lives."""
+        lines = map(json.loads, (self.folder / f"{name}.log").read_text().splitlines())
+        return [line for line in lines if line["event"] == event]
+
+    def asker(self, name):
+        self.askers.append(Keepers(self.keepers, name, random.Random(1)))
+        return self.askers[-1]
+
+    def here(self, name):
+        return self.looker.here(name, 0.5).told
+
+    def leader(self, *but):
+        """Who is seen to lead by a majority, none of `but`."""
+        def found():
+            heard = self.looker.look(0.5)
+            return heard.told["leader"] if not heard.why and heard.told["leader"] not in but else ""
+
+        return until(found)
+
+    def voters(self):
+        return self.looker.look().told["members"][0]
