--- /dev/null
+++ b/benchmarks/keepers.py
@@ -0,0 +1,169 @@
+"""Keepers as processes: grants a second over bare appends with fsync, restart behind a snapshot, time to a new leader.
+
+    python -m benchmarks.keepers [pace] [restart] [kills]
+
+All on this machine's loopback and one disk, that of the folder for temporary files; ratios are of one run.
+"""
+
+import json
+import os
+import random
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import gevent
+
+from benchmarks.common import percentile
+from ironfall.agreement import Entry
+from ironfall.durable.disk import Folder
+from ironfall.keeper.client import Keepers
+from ironfall.keeper.disk import Append, Keep, Snapshot, Store
+from ironfall.keeper.keeper import BOUNDS
+from ironfall.keeper.machine import Machine
+from ironfall.permits import Rules
+from tests.keepers import Group, until
+
+SECONDS = 6.0
+ASKERS = 96
+HOSTS = 2_000
+
+
+def bare(folder, seconds=3.0, size=300):
+    """Appends of about an entry's size, each synced before the next."""
+    count, until_, data = 0, time.monotonic() + seconds, b"x" * size
+    with open(folder / "bare", "ab", buffering=0) as file:
+        while time.monotonic() < until_:
+            file.write(data)
+            os.fsync(file.fileno())
+            count += 1
+    return count / seconds
+
+
+def hosts(count=HOSTS):
+    return {f"h{n}": {"zone": "ab"[n % 2], "kind": "disk", "tenants": [f"t{n % 50}"], "strength": 100, "classes": 3,
+                      "ready": True} for n in range(count)}  # fmt: skip
+
+
+def pace(folder):
+    with Group(folder) as group:
+        listed = group.asker("registry").ask({"k": "list", "v": 1, "hosts": hosts()}, 10.0)
+        assert listed.done, listed
+        counts = {"grants": 0, "entries": 0, "other": 0}
+        took = []
+        ends = [0.0]
+
+        def put(one, entry):
+            began = time.monotonic()
+            heard = one.ask(entry, 10.0)
+            took.append(time.monotonic() - began)
+            counts["entries" if heard.done else "other"] += 1
+            return heard
+
+        def ask(n):
+            one, number = group.asker(f"asker{n}"), 0
+            put(one, {"k": "hold", "holder": one.base, "inc": 1})
+            while time.monotonic() < ends[0]:
+                number += 1
+                about = {"holder": one.base, "inc": 1, "n": number}
+                heard = put(one, {"k": "ask", **about, "units": [f"host/h{n}"], "length": 10_000})
+                granted = any(m[0] == f"host/h{n}" and "granted" in m for m in heard.told["answer"].get("moved", ()))
+                counts["grants"] += granted
+                put(one, {"k": "cancel", **about})
+                if number % 64 == 0:
+                    put(one, {"k": "hold", "holder": one.base, "inc": 1})
+
+        before = bare(folder)
+        ends[0] = time.monotonic() + SECONDS
+        began = time.monotonic()
+        gevent.joinall([gevent.spawn(ask, n) for n in range(ASKERS)], raise_error=True)
+        length = time.monotonic() - began
+        after = bare(folder)
+    appends = (before + after) / 2
+    entries, grants = counts["entries"] / length, counts["grants"] / length
+    print(f"bare appends with fsync: {before:.0f} and {after:.0f} a second, before and after")
+    print(f"{ASKERS} askers: {entries:.0f} entries a second, {entries / appends:.2f}x; of them {grants:.0f} grants, "
+          f"{grants / appends:.2f}x; answered in {1000 * percentile(took, 0.5):.0f} ms, p99 "
+          f"{1000 * percentile(took, 0.99):.0f} ms; not done: {counts['other']}")  # fmt: skip
+
+
+def restart(folder, count=1_000_000):
+    """A keeper's disk, written as it writes it, with `count` entries behind it: then a process that begins from it."""
+    group = Group(folder, 1)
+    try:
+        store, machine = Store(Folder(group.disk("k1")), "k1"), Machine()
+        store.begin()
+        identity = store.identity
+        rules = {"k": "rules", "at": 1, "rules": Rules().facts()}
+        for index, entry in enumerate((rules, {"k": "list", "at": 1, "v": 1, "hosts": hosts(1_000)}), 1):
+            machine.apply(index, Machine.entry("", 0, json.dumps(entry).encode()))
+        at = int(time.time() * 10_000)
+        for n in range(1_024):
+            entry = {"k": "hold", "at": at, "holder": f"h{n}", "inc": 1}
+            machine.apply(n + 3, Machine.entry(f"asker{n}", 1, json.dumps(entry).encode()))
+        head = json.dumps([count, 1, [[identity], []], []]).encode()
+        rest = [Entry(1, "ask", 1, n, Machine.entry("", 0, json.dumps({"k": "tick", "at": at + n}).encode()))
+                for n in range(BOUNDS.log)]  # fmt: skip
+        snapshot = head + b"\n" + machine.snapshot()
+        store.write([Keep(1 << 20, 1, identity), Snapshot(count, snapshot, ())])
+        for start in range(0, len(rest), 100):
+            store.write([Append(count + 1 + start, rest[start : start + 100])])
+        size = sum(p.stat().st_size for p in group.disk("k1").iterdir())
+        store.disk.close()
+        began = time.monotonic()
+        group.start("k1")
+        until(lambda: group.told("k1", "begun"), 60.0)
+        begun = time.monotonic() - began
+        until(lambda: group.here("k1").get("index", 0) > count + len(rest), 60.0)
+        process = group.processes["k1"].pid
+        memory = next(line for line in Path(f"/proc/{process}/status").read_text().splitlines() if "VmRSS" in line)
+        print(f"{count} entries behind it, {len(rest)} of them after the snapshot of {len(snapshot) / 2**20:.2f} MiB, "
+              f"{size / 2**20:.1f} MiB on disk: begun after {begun:.2f} s with the start of the process, leading with "
+              f"all applied after {time.monotonic() - began:.2f} s; {memory.split()[1]} KiB resident")  # fmt: skip
+    finally:
+        group.__exit__()
+
+
+def kills(folder, count=20):
+    """From the kill to the first ask that the next leader agreed to; an asker goes on meanwhile."""
+    with Group(folder) as group:
+        times, heard, version = [], [], [0]
+        asker = group.asker("registry")
+        going = [True]
+
+        def ask():
+            while going[0]:
+                version[0] += 1
+                heard.append(asker.ask({"k": "list", "v": version[0], "hosts": {}}, 20.0))
+
+        asking = gevent.spawn(ask)
+        chance = random.Random(1)
+        for _ in range(count):
+            enough = len(heard) + chance.randint(5, 30)
+            until(lambda n=enough: len(heard) > n)
+            old = group.leader()
+            group.kill(old)
+            began = time.monotonic()
+            probe = Keepers([k for k in group.keepers if k[0] != old], "probe", chance)
+            until(lambda p=probe: p.ask({"k": "tick"}, 0.5).done)
+            times.append(time.monotonic() - began)
+            probe.close()
+            group.start(old)
+            until(lambda o=old: group.here(o).get("role") == "follower", 20.0)
+        going[0] = False
+        asking.join()
+        judge = group.asker("judge").ask({"k": "list", "v": version[0], "hosts": {}})
+    lost = sum(not h.done for h in heard) + (f"no newer than {version[0]}" not in judge.no)
+    print(f"{count} kills: a new leader agreed to an ask after {percentile(times, 0.5):.2f} s, at most "
+          f"{max(times):.2f} s; {len(heard)} asks meanwhile, {lost} lost or done twice")  # fmt: skip
+
+
+def main():
+    for name in sys.argv[1:] or ("pace", "restart", "kills"):
+        with tempfile.TemporaryDirectory() as folder:
+            {"pace": pace, "restart": restart, "kills": kills}[name](Path(folder))
+
+
+if __name__ == "__main__":
+    main()
