--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -78,12 +78,19 @@
     group.signal(old, "SIGSTOP")
     new = group.leader(old)
     assert group.asker("registry").ask(listing(1)).done
-    group.signal(old, "SIGCONT")
     one = Keepers([k for k in group.keepers if k[0] == old], "old's", random.Random(1))
-    seen = one.look(0.3)  # it may have been put to it before any timer of its rang
+    asked = gevent.spawn(one.look, 0.3)
+    until(lambda: one.looks.clients and one.looks.clients[old].sock)
+    group.signal(old, "SIGCONT")
+    seen = asked.get()  # it had waited there, and is read before any timer rings
     assert seen.why or seen.told["reign"] > reign
+    one.close()
     until(lambda: group.here(old).get("role") == "follower" and group.here(old).get("leader") == new)
     assert stands(group, 1)
+    for name in group.names:
+        if name != new:
+            group.kill(name)
+    assert group.looker.look(0.3).why, "one alone may know nothing newer"
 
 
 def test_a_blank_disk_is_a_stranger_until_it_is_taken_in(group):
