Wake polls of marks by a change alone; try a disk put back from a copy

Each entry woke each poll. Now one greenlet looks at the marks and wakes polls when they changed or no leader is heard. What is said of a disk is logged on the loop, not on its thread.

--- a/ironfall/keeper/keeper.py
+++ b/ironfall/keeper/keeper.py
@@ -122,7 +122,7 @@
     def _begin(self, first: Members | None, renew: bool) -> None:
         while True:
             try:
-                found = self.pool.apply(self._read, (first, renew))
+                found, notes = self.pool.apply(self._read, (first, renew))
                 break
             except OSError as cause:
                 # Safe to try at any time: what was confirmed is read back, what was not is cut, and nothing is
@@ -131,6 +131,8 @@
                 self.pause = min(AGAIN_MOST, 2 * self.pause)
                 self.log.error("disk can't be used", cause=str(cause), again_s=round(pause, 1))
                 gevent.sleep(pause)
+        for event, about in notes:
+            self.log.warning(event, cause=about)
         self.machine = Machine(self._applied)
         self.writer = Writer(self.store, self.pool, self._kept, self._failed)
         self.member = Part(self.store.identity, self.bounds, self.chance, self, self.machine, found)
@@ -139,22 +141,19 @@
                       members=list(self.member.members.voters))  # fmt: skip
         self.changed.set()
 
-    def _read(self, first: Members | None, renew: bool) -> Found:
-        """On the disk's thread."""
+    def _read(self, first: Members | None, renew: bool) -> tuple[Found, list[tuple[str, str]]]:
+        """On the disk's thread, where nothing may be logged: what is to be said comes back."""
         try:
             if renew:
                 raise Lost("it is older than what was answered for")
             found, faults = self.store.open()
         except FileNotFoundError:
-            return self.store.begin()
+            return self.store.begin(), []
         except Lost as lost:
-            self.log.error("disk lost", cause=str(lost), then="a new incarnation, to be added by an operator")
-            return self.store.begin()
-        for fault in faults:
-            self.log.warning("disk mended", fault=fault)
+            return self.store.begin(), [("disk lost", str(lost))]
         if first is not None and not found.snapshot and not found.first.voters:
-            return self.store.begin(first, found.entries)
-        return found
+            found = self.store.begin(first, found.entries)
+        return found, [("disk mended", fault) for fault in faults]
 
     @property
     def blank(self) -> bool:
--- a/ironfall/keeper/program.py
+++ b/ironfall/keeper/program.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import asdict
+from itertools import islice
 from typing import Any
 
 import gevent
@@ -23,6 +24,7 @@
 SECOND = 10_000
 BODY = 16 * 2**20  # of a post, by peers too
 TICK = 1.0  # seconds
+LAPSES = 256  # leases ended at one tick; the rest at the next
 
 
 class Program:
@@ -40,13 +42,14 @@
         limits = terms.limits
         http = HttpBounds(limits.held, BODY, limits.header_time / SECOND, MARKS_TIME + limits.idle / SECOND,
                           limits.write_time / SECOND)  # fmt: skip
-        self.server = HttpServer(dict(group)[name], http, Api(self.keeper).handle)
+        self.api = Api(self.keeper)
+        self.server = HttpServer(dict(group)[name], http, self.api.handle)
         self.done = Event()
 
     def start(self) -> None:
         self.server.start()
         self.keeper.begin()
-        self.loops = [gevent.spawn(self._beat), gevent.spawn(self._find_group)]
+        self.loops = [gevent.spawn(self._beat), gevent.spawn(self._find_group), gevent.spawn(self.api.watch)]
         self.keeper.broken.rawlink(lambda _: self.done.set())
         self.log.info("listening", port=self.server.port)
 
@@ -60,10 +63,10 @@
     def stop(self) -> None:
         if self.done.is_set():
             return
-        for loop in self.loops:
-            loop.kill(block=False)
         self.keeper.leave()
         self.server.stop(0.2)
+        for loop in self.loops:
+            loop.kill(block=False)
         self.log.info("stopped")
         self.done.set()
 
@@ -80,7 +83,8 @@
             entries: list[dict[str, Any]] = [{"k": "tick"}]
             if not ledger.agreed or json.loads(json.dumps(asdict(ledger.rules))) != self.rules:
                 entries.insert(0, {"k": "rules", "rules": self.rules})
-            entries += [{"k": "lapse", "role": role, "name": name, "inc": inc} for role, name, inc in ledger.due()]
+            entries += [{"k": "lapse", "role": role, "name": name, "inc": inc}
+                        for role, name, inc in islice(ledger.due(), LAPSES)]  # fmt: skip
             for entry in entries:
                 # What is in doubt is found due again at the next beat, by whoever leads then.
                 if keeper.ask("", 0, entry, 2 * TICK)[0] is not Outcome.DONE:
--- a/ironfall/keeper/server.py
+++ b/ironfall/keeper/server.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import gevent
+from gevent.event import Event
 
 from ironfall.agreement import Outcome
 from ironfall.api.http import Answer, HttpClient, Refused, Request
@@ -16,8 +17,9 @@
 MARKS_TIME = 30.0  # the longest a poll of marks is held
 POLLS = 2048  # of marks, held at once
 ASKERS = 128  # characters of a name
-# Many entries may be applied while marks are polled for: they are looked at again no sooner than this.
-MARKS_EVERY = 0.02
+# Many entries may be applied while marks are polled for: these are looked at again no sooner than this. And a leader
+# that falls silent sets off nothing.
+MARKS_EVERY, HEARS_EVERY = 0.02, 0.1
 
 
 def _answer(status: int, told: Any, retry: bool = False) -> Answer:
@@ -28,9 +30,9 @@
 class Api:
     def __init__(self, keeper: Keeper) -> None:
         self.keeper = keeper
-        self.polls = 0
-        self.marked: tuple[int, Any] = (0, None)  # what the marks are, and since which index
-        self.marked_at = -1
+        self.polls: set[Event] = set()
+        self.marked: tuple[int, Any] = (0, None)  # since which index, and what the marks are
+        self.marked_at, self.heard = -1, False
         self.routes: dict[tuple[str, str], Callable[[Request], Answer]] = {
             ("POST", "/v1/peer/said"): self._said,
             ("GET", "/v1/peer/who"): self._who,
@@ -131,35 +133,36 @@
         outcome, answer = keeper.call("read", LOOK_TIME, read=self._seen)
         return _answer(200, answer) if outcome is Outcome.READ else self._outcome(outcome, answer)
 
+    def watch(self) -> None:
+        """Polls of marks are woken by a change alone, however many entries come."""
+        while True:
+            self.keeper.changed.wait(HEARS_EVERY)
+            self.keeper.changed.clear()
+            member, before = self.keeper.member, (self.heard, self.marked[0])
+            self.heard = member is not None and member.hears() and not self.keeper.ending
+            if member is not None and member.commit != self.marked_at:
+                self.marked_at, marks = member.commit, list(self.keeper.machine.ledger.marks())
+                if marks != self.marked[1]:
+                    self.marked = member.commit, marks
+            if (self.heard, self.marked[0]) != before:
+                for poll in self.polls:
+                    poll.set()
+            gevent.sleep(MARKS_EVERY)
+
     def _marks(self, request: Request) -> Answer:
         after, wait = request.number("after", 0), min(MARKS_TIME, max(0, request.number("wait", 0)) / 1000)
-        if self.polls >= POLLS:
+        if len(self.polls) >= POLLS:
             return _answer(429, {"why": "full"}, True)
-        self.polls += 1
+        poll = Event()
+        self.polls.add(poll)
         try:
-            until = self.keeper.monotonic() + wait
-            while True:
-                member = self.keeper.member
-                if member is None or not member.hears() or self.keeper.ending:
-                    return _answer(503, {"why": "no leader is heard here"}, True)
-                since, marks = self._now_marked(member.commit)
-                left = until - self.keeper.monotonic()
-                if since > after or left <= 0:
-                    return _answer(200, {"index": member.commit, "marks": marks})
-                # A leader that falls silent sets nothing: looked for each while.
-                request.hold(self.keeper.changed, min(left, self.keeper.bounds.election / 10_000))
-                self.keeper.changed.clear()
-                gevent.sleep(MARKS_EVERY)
+            if self.heard and self.marked[0] <= after:
+                request.hold(poll, wait)
         finally:
-            self.polls -= 1
-
-    def _now_marked(self, index: int) -> tuple[int, Any]:
-        if index != self.marked_at:
-            self.marked_at = index
-            marks = list(self.keeper.machine.ledger.marks())
-            if marks != self.marked[1]:
-                self.marked = index, marks
-        return self.marked
+            self.polls.discard(poll)
+        if not self.heard:
+            return _answer(503, {"why": "no leader is heard here"}, True)
+        return _answer(200, {"index": self.marked_at, "marks": self.marked[1]})
 
     def _members(self, request: Request) -> Answer:
         """A keeper whose disk was lost, by the incarnation it has now, in place of the one it had."""
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -93,21 +93,32 @@
     assert group.looker.look(0.3).why, "one alone may know nothing newer"
 
 
-def test_a_blank_disk_is_a_stranger_until_it_is_taken_in(group):
-    dead = next(n for n in group.names if n != group.leader())
-    before = group.voters()
+@pytest.mark.parametrize("older", [False, True], ids=["blank", "older"])
+def test_a_disk_that_lost_something_is_a_strangers_until_it_is_taken_in(group, older):
+    dead, registry = next(n for n in group.names if n != group.leader()), group.asker("registry")
+    before, copy = group.voters(), group.folder / "copy"
+    group.kill(dead)
+    if older:
+        shutil.copytree(group.disk(dead), copy)
+        group.start(dead)
+        until(lambda: group.here(dead).get("role") == "follower")
+    assert registry.ask(listing(1)).done
+    until(lambda: not older or group.here(dead).get("index", 0) >= group.looker.look().told["index"] - 1)
     group.kill(dead)
     shutil.rmtree(group.disk(dead))
+    if older:
+        shutil.move(copy, group.disk(dead))
     group.start(dead, "--found")
-    until(lambda: group.here(dead).get("role") == "stranger")
-    assert group.asker("registry").ask(listing(1)).done and group.voters() == before
     until(lambda: group.told(dead, "stranger"))
+    until(lambda: group.here(dead).get("role") == "stranger")
+    assert bool(group.told(dead, "disk lost")) == older
+    assert registry.ask(listing(2)).done and group.voters() == before
     assert group.looker.replace(dead).done
     until(lambda: group.here(dead).get("identity") in group.voters())
     # It counts: with another gone, the two are a majority.
     other = next(n for n in group.names if n not in (dead, group.leader()))
     group.kill(other)
-    assert group.asker("registry").ask(listing(2)).done and stands(group, 2)
+    assert registry.ask(listing(3)).done and stands(group, 3)
 
 
 def test_a_restart_of_all_keeps_everything_and_a_torn_tail_is_cut(group):
@@ -228,6 +239,25 @@
     assert keeper.machine.ledger.now > at
 
 
+def test_marks_are_told_when_they_change_and_by_none_that_hears_no_leader(alone):
+    def ask(kind, **about):
+        return alone.asker.ask({"k": kind, **about})
+
+    host = {"zone": "east", "kind": "disk", "strength": 9, "classes": 1, "ready": True}
+    hosts = {f"h{n}": host for n in range(20)}
+    until(lambda: alone.program.keeper.machine.ledger.agreed)
+    assert ask("list", v=1, hosts=hosts).done and ask("hold", holder="me", inc=1).done
+    index = alone.asker.marks(0, 0.0).told["index"]
+    poll = gevent.spawn(alone.asker.marks, index, 10.0)
+    granted = ask("ask", holder="me", inc=1, n=1, units=["host/h3"], length=SECOND)
+    token = granted.told["index"]
+    assert ask("drain", holder="me", inc=1, unit="host/h3", token=token).done
+    told = poll.get(timeout=5.0).told
+    assert [m[:2] for m in told["marks"]] == [["host/h3", "leaving"]] and told["index"] > token
+    alone.disk.failing = True
+    assert alone.asker.ask({"k": "tick"}, 0.5).why and until(lambda: alone.asker.marks(0, 0.0).why == "silent")
+
+
 # parts
 
 
