--- a/ironfall/keeper/disk.py
+++ b/ironfall/keeper/disk.py
@@ -183,11 +183,11 @@
     """Writes in order on a thread of its own: a slow sync stops nobody. `kept` is told back on the loop."""
 
     def __init__(self, store: Store, pool: ThreadPool, kept: Callable[[int], None],
-                 failed: Callable[[str], None]) -> None:  # fmt: skip
+                 failed: Callable[[str], None], spawn: Callable[..., gevent.Greenlet]) -> None:  # fmt: skip
         self.store, self.pool, self.kept, self.failed = store, pool, kept, failed
         self.queue: deque[tuple[int, Write]] = deque()  # bounded by the member, which takes no more at its bound
         self.more = Event()
-        self.loop = gevent.spawn(self._run)
+        self.loop = spawn(self._run)
 
     def put(self, number: int, write: Write) -> None:
         self.queue.append((number, write))
--- a/ironfall/keeper/keeper.py
+++ b/ironfall/keeper/keeper.py
@@ -84,7 +84,6 @@
         self.name, self.group, self.chance, self.log, self.bounds = name, dict(group), chance, log, bounds
         self.monotonic, self._wall = monotonic, wall
         self.store, self.pool, self.clock = Store(disk, name), ThreadPool(1), Clock()
-        self.peers = {n: Peer(address, chance) for n, address in group if n != name}
         self.writer: Writer | None = None
         self.member: Part | None = None
         self.machine = Machine()
@@ -97,7 +96,8 @@
         self.barred, self.ending, self.pause = "", False, AGAIN_FIRST
         self.changed, self.broken, self.opened = Event(), Event(), Event()
         self.beginning: gevent.Greenlet | None = None
-        self.alarms = gevent.spawn(self._alarms)
+        self.peers = {n: Peer(address, chance, self.spawn) for n, address in group if n != name}
+        self.alarms = self.spawn(self._alarms)
 
     # life
 
@@ -106,7 +106,7 @@
         if self.ending or self.beginning is not None and not self.beginning.ready():
             return
         self.end()
-        self.beginning = gevent.spawn(self._begin, first, renew)
+        self.beginning = self.spawn(self._begin, first, renew)
 
     def end(self) -> None:
         if self.writer is not None:
@@ -134,7 +134,7 @@
         for event, about in notes:
             self.log.warning(event, cause=about)
         self.machine = Machine(self._applied)
-        self.writer = Writer(self.store, self.pool, self._kept, self._failed)
+        self.writer = Writer(self.store, self.pool, self._kept, self._failed, self.spawn)
         self.member = Part(self.store.identity, self.bounds, self.chance, self, self.machine, found)
         self.member.bar(self.barred)
         self.log.info("begun", identity=self.store.identity, reign=self.member.reign, entries=self.member.log.last,
@@ -180,14 +180,24 @@
         try:
             getattr(member, what)(*about)
         except Exception as wrong:
-            # What must hold does not: better no keeper than one that goes on.
-            self.log.error("broken", told=what, cause=repr(wrong), exc_info=True)
-            self.ending = True
-            self.end()
-            self.broken.set()
+            self.break_off(what, wrong)
             return
         self._look(member)
 
+    def break_off(self, what: str, wrong: BaseException | None) -> None:
+        """What must hold does not: better no keeper than one that goes on with a part of it."""
+        if not self.broken.is_set():
+            self.log.error("broken", by=what, cause=repr(wrong), exc_info=wrong)
+            self.ending = True
+            self.broken.set()
+            self.end()
+
+    def spawn(self, what: Callable[..., None], *about: Any) -> gevent.Greenlet:
+        """A loop that must not end by itself unseen."""
+        loop = gevent.spawn(what, *about)
+        loop.link_exception(lambda one: self.break_off(what.__name__, one.exception))
+        return loop
+
     def _look(self, member: Part) -> None:
         now = (member.role if member.role == LEADER else FOLLOWER, member.reign, member.leader)
         if now == self.seen:
@@ -198,7 +208,7 @@
             self.session, self.number = 0, 0
             self.opened.clear()
             self.log.info("leads", reign=reign, entries=member.log.last)
-            gevent.spawn(self._open, reign)
+            self.spawn(self._open, reign)
         elif role == FOLLOWER and leader and (reign, leader) != before[1:]:
             self.log.info("follows", reign=reign, leader=leader)
         self.changed.set()
--- a/ironfall/keeper/peers.py
+++ b/ironfall/keeper/peers.py
@@ -7,7 +7,7 @@
 import json
 import random
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import gevent
@@ -35,12 +35,13 @@
 class Peer:
     """One way to one keeper's address. `said` never waits."""
 
-    def __init__(self, address: tuple[str, int], chance: random.Random) -> None:
+    def __init__(self, address: tuple[str, int], chance: random.Random,
+                 spawn: Callable[..., gevent.Greenlet]) -> None:  # fmt: skip
         self.client, self.chance = HttpClient(address, CONNECT, 1 << 16), chance
         self.queue: deque[tuple[int, dict[str, Any]]] = deque()
         self.size, self.dropped, self.failures = 0, 0, 0
         self.more = Event()
-        self.loop = gevent.spawn(self._run)
+        self.loop = spawn(self._run)
 
     def said(self, message: dict[str, Any], size: int = 0) -> None:
         self.queue.append((size, message))
--- a/ironfall/keeper/program.py
+++ b/ironfall/keeper/program.py
@@ -49,7 +49,7 @@
     def start(self) -> None:
         self.server.start()
         self.keeper.begin()
-        self.loops = [gevent.spawn(self._beat), gevent.spawn(self._find_group), gevent.spawn(self.api.watch)]
+        self.loops = [self.keeper.spawn(loop) for loop in (self._beat, self._find_group, self.api.watch)]
         self.keeper.broken.rawlink(lambda _: self.done.set())
         self.log.info("listening", port=self.server.port)
 
