--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -11,8 +11,10 @@
 from ironfall import terms
 from ironfall.lab.permits_sim import MUTANTS, play
 from ironfall.permits import Fence, Ledger, Rules, read_fleet
+from ironfall.permits.room import channel_time
 from ironfall.permits.terms import SECOND, rules_of
 from ironfall.sexp import Source
+from tests import fleet as fleet_model
 
 RULES = Rules(budgets=(("fleet", 3, 1_000_000), ("zone", 2, 1_000_000), ("directors", 1, 1_000_000)),
               lease=100 * SECOND, age=60 * SECOND, empty=5 * SECOND, unplanned=500_000)  # fmt: skip
@@ -419,3 +421,34 @@
         one.told = (one.scopes.counts, held.warm, held.whole, held.undoing, held.planned, one.draining,
                     one.asked, one.cold, one.strays, one._channel(), one.waits, one.live)  # fmt: skip
     assert again.told == ledger.told
+
+
+@pytest.mark.parametrize("staying, moving, drains", [(300, 75, 0), (300, 300, 0), (300, 150, 12)])
+def test_the_channel_takes_what_the_formula_says(staying, moving, drains):
+    """Against the decisions themselves in the model of the channel: bound, and withdrawn, within it."""
+    service = fleet_model.terms()
+    fleet, hosts = fleet_model.Fleet(service), fleet_model.names(b"a", 200)
+    fleet.list(hosts)
+    fleet.run(2)
+    for proxy in range(staying):
+        fleet.join(proxy, hosts[:5])
+        if proxy % 20 == 19:
+            fleet.close()
+            fleet.run(0.2)
+    fleet.run(20)
+    binding = 1 + max(len(fleet.tables[table]) for table in set(fleet.bound.values())) + len(fleet.levels)
+    begun, late = fleet.now, 0
+    for proxy in range(staying, staying + moving):
+        fleet.join(proxy, hosts[:5])
+    if drains:
+        fleet.list(hosts[drains:], hosts[:drains])
+    fleet.close()
+    for _ in range(100):
+        fleet.run(0.1)
+        if any(picks & set(hosts[:drains]) for picks in fleet.picks.values()):
+            late = fleet.now - begun
+    rules = Rules(head=6, slowest=service.slowest_message, pace=4_500)
+    expected = channel_time(rules, 1, staying, moving, binding, 0, drains)
+    bound = max(fleet.bound_after[proxy] for proxy in range(staying, staying + moving))
+    assert max(bound, late) <= expected + fleet_model.TICK
+    assert drains or bound >= expected - 2 * fleet_model.TICK  # not by far too careful
