--- a/ironfall/director/explain.py
+++ b/ironfall/director/explain.py
@@ -33,6 +33,12 @@
     return it is not None and not it.ready
 
 
+def silent(director: Any) -> list[bytes]:
+    """Hosts that are out for their silence, and that the list calls ready."""
+    hosts = director.hosts.values() if isinstance(director, Director) else ()
+    return [it.id for it in hosts if it.out and it.mute and it.ready]
+
+
 def channel(director: Any, now: int) -> dict[str, Any]:
     """What the decisions take to wait in the channel, beside the most that may."""
     if not isinstance(director, Director):
--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -12,6 +12,7 @@
 import gevent
 from gevent.event import Event
 
+from ironfall import __version__
 from ironfall.api import codec
 from ironfall.api.exchange import Link, address_of, read_gauges
 from ironfall.api.http import Answer, Bounds, Gone, HttpClient, HttpServer, Refused, Request
@@ -19,6 +20,7 @@
 from ironfall.director.clock import Clock
 from ironfall.director.intake import sane
 from ironfall.director.live import Live
+from ironfall.director.member import Keepers, Member
 from ironfall.director.sessions import Full, Session, due
 from ironfall.director.turns import Decide
 from ironfall.files.service import Files
@@ -40,7 +42,7 @@
 
     def __init__(self, terms: Terms, log: Any, name: str = "director", zone: str = "", seed: int | None = None,
                  decide: Decide = Director, record: TextIO | None = None,
-                 monotonic: Callable[[], float] = time.monotonic) -> None:  # fmt: skip
+                 monotonic: Callable[[], float] = time.monotonic, keepers: Keepers | None = None) -> None:  # fmt: skip
         self.terms, self.log, self.name = terms, log, name
         self.zone = zone or terms.zones[0]
         seed = secrets.randbits(63) if seed is None else seed
@@ -59,6 +61,10 @@
         self.probing: set[str] = set()
         self.loop: gevent.Greenlet | None = None
         self.files = Files(self.live, terms.files, log) if terms.files.path else None
+        self.member: Member | None = None
+        if keepers is not None:
+            lease, drift = 10 * SECOND, 0.01
+            self.member = Member(self.live, keepers, name, self.zone, __version__, lease, drift, seed + 2, monotonic)
 
     # life
 
@@ -72,6 +78,8 @@
             self.files.start()
         gevent.spawn(self._watch_list)
         self.server.start()
+        if self.member:
+            self.member.start()
         self.metrics = Metrics(self.live, self.terms.metrics, self.name, self.seed, self.server.counts)
         self.log.info("listening", address=f"{self.terms.listen[0]}:{self.server.port}", epoch=self.live.epoch)
 
@@ -91,6 +99,8 @@
         self.metrics.stop()
         if self.files:
             self.files.stop()
+        if self.member:
+            self.member.stop()
         self.log.info("stopped", turns=self.live.lengths.get_total_count())
         self.done.set()
 
@@ -176,9 +186,11 @@
             raise BadList(f"not a list: {type(wrong).__name__} {wrong}") from None
         if self.files:
             self.files.registry(rows, whole)
-            return version
-        listing = self.live.roster.read(self.live.clock.now(), rows, whole)
-        self.live.insist("listed", listing, whole, True)  # the registry waits, and adds up what comes meanwhile
+        else:
+            listing = self.live.roster.read(self.live.clock.now(), rows, whole)
+            self.live.insist("listed", listing, whole, True)  # the registry waits, and adds up what comes meanwhile
+        if self.member:
+            self.member.stands.marks.listed(self.live.clock.now(), rows, whole)
         return version
 
     # the protocol
@@ -322,6 +334,8 @@
                 live.count("sums not understood")
                 continue
             live.intake.add_came(session.number, came.kind, came.came, min(came.lost, came.came))
+            if self.member:
+                self.member.stands.arrived(came.kind, came.came, min(came.lost, came.came))
         return Answer(204)
 
     def _files(self, request: Request) -> Answer:
@@ -365,6 +379,7 @@
             "readings": dict(self.metrics.readings.counts),
             "spools": [s.books for s in self.metrics.senders],
             **({"files": self.files.status()} if self.files else {}),
+            **({"member": self.member.status()} if self.member else {}),
         }  # fmt: skip
 
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -52,14 +52,14 @@
 
 
 class Rig:
-    def __init__(self, hosts=6, seed=1, **changes):
+    def __init__(self, hosts=6, seed=1, keepers=None, **changes):
         self.registry = ListStub(hosts)
         terms = read_terms(str(TERMS), TERMS.read_text())
         service = replace(terms.service, **changes.pop("service", {}))
         limits = replace(terms.limits, **changes.pop("limits", {}))
         self.terms = replace(terms, listen=("127.0.0.1", 0), registry=("127.0.0.1", self.registry.server.port),
                              limits=limits, service=service, **changes)  # fmt: skip
-        self.program = Program(self.terms, structlog.get_logger(), seed=seed)
+        self.program = Program(self.terms, structlog.get_logger(), seed=seed, keepers=keepers)
         self.program.start()
         self.live = self.program.live
         self.address = ("127.0.0.1", self.program.server.port)
