--- /dev/null
+++ b/ironfall/lab/agents.py
@@ -0,0 +1,204 @@
+"""What hosts' owners would run beside the keepers: an agent on each host, and what it and the registry share.
+
+An agent says each second whether its host's process is up and how long nothing came to it, and stops or starts the
+process as keepers' marks order. It acts under the newest token alone, also over its own restart.
+"""
+
+import json
+import random
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+import gevent
+
+from ironfall.durable.disk import Disk
+from ironfall.durable.records import seal, unseal
+from ironfall.permits import Fence
+
+SECOND = 10_000
+EVERY = 1.0  # seconds between two words
+LONGEST = 5.0  # seconds between two tries
+Marks = list[tuple[str, str, int]]  # unit, what it is to be (leaving, stopped, starting, ready), token
+
+
+class Process(Protocol):
+    """A host's process, as its agent sees it. Times are tenths of a millisecond."""
+
+    up: bool
+    incarnation: int
+
+    def hand(self) -> int: ...  # exchanges that came and are not answered
+    def came(self) -> int: ...  # when the last one came
+    def stop(self, token: int) -> None: ...
+    def start(self, token: int) -> None: ...  # only where it was stopped so: what fell comes up by itself
+
+
+class Keepers(Protocol):
+    """The way to the keepers, for one greenlet at a time. Both raise where nobody answers."""
+
+    def ask(self, entry: dict[str, Any]) -> Any: ...
+    def marks(self, after: int, wait: int) -> tuple[int, Marks] | None: ...  # None: nothing new within `wait` ms
+
+
+class Kept:
+    """One small state, replaced whole by a rename, so that a crash leaves the old one or the new."""
+
+    def __init__(self, disk: Disk, name: str) -> None:
+        """Raises `ValueError` for one that is damaged: without its tokens an older order would be let through."""
+        self.disk, self.name = disk, name
+        self.state: dict[str, Any] = {"tokens": {}, "starts": 0}
+        if name in disk.names():
+            records, _, wrong = unseal(disk.read(name))
+            if wrong or len(records) != 1:
+                raise ValueError(f"{name}: {wrong or f'{len(records)} records in place of one'}")
+            self.state = json.loads(records[0])
+        self.save(starts=self.state["starts"] + 1)
+
+    def save(self, **about: Any) -> None:
+        """Raises `OSError`; what was kept before is then kept still."""
+        state, fresh = self.state | about, self.name + ".new"
+        self.disk.remove(fresh)
+        self.disk.append(fresh, seal(json.dumps(state).encode()))
+        self.disk.sync(fresh)
+        self.disk.rename(fresh, self.name)
+        self.state = state
+
+    def first(self) -> int:
+        """Where numbers of this start begin: over those of any earlier one, whatever a clock says."""
+        return int(self.state["starts"]) << 32
+
+
+class Agent:
+    """Of one host; pure. `rest`: how long nothing must have come before it stops the process, whoever orders it;
+    `lasts`: how long an order to stop holds that is not told again, so that a halt is true where no word comes."""
+
+    def __init__(self, name: str, process: Process, fence: Fence, save: Callable[[], None], number: int, now: int,
+                 rest: int, lasts: int, tell: Callable[..., None]) -> None:  # fmt: skip
+        self.name, self.unit, self.process, self.fence = name, f"host/{name}", process, fence
+        self.save, self.number, self.rest, self.lasts, self.tell = save, number, rest, lasts, tell
+        self.since, self.seen = now, process.incarnation  # since when it watches this process
+        self.order: tuple[str, int] | None = None  # what is still to be done
+        self.told = now  # when that was last told
+        self.done = ("", 0)
+
+    def quiet(self, now: int) -> int:
+        """How long nothing came and nothing was in hand, as far as it was there to see."""
+        if self.seen != self.process.incarnation:
+            self.seen, self.since = self.process.incarnation, now
+        if self.process.up and self.process.hand():
+            return 0
+        return max(0, now - max(self.since, self.process.came()))
+
+    def word(self, now: int) -> dict[str, Any]:
+        self.number += 1
+        return {"inc": self.process.incarnation, "n": self.number, "up": self.process.up, "quiet": self.quiet(now),
+                "token": self.done[1]}  # fmt: skip
+
+    def ordered(self, now: int, want: str, token: int) -> bool:
+        """A mark of the keepers; False for one older than the newest. Raises `OSError` where it can't be kept: then
+        nothing was done, and it is to be told again."""
+        known = self.fence.tokens.get(self.unit, 0)
+        if not self.fence.allows(self.unit, token):
+            self.tell("older", unit=self.unit, token=token, newest=known)
+            return False
+        if token != known:
+            self.order = None  # also where the newer can't be kept: the older is not to be done any more
+        if self.order is None and token != self.done[1]:
+            self.save()
+        if self.order is not None or (want, token) != self.done:
+            # Under one token it may be less than before: what a halt calls back is not to be stopped any more.
+            self.order, self.told = (want, token), now
+        self.act(now)
+        return True
+
+    def act(self, now: int) -> None:
+        """Do what is ordered, as soon as it may be done."""
+        if self.order is None:
+            return
+        want, token = self.order
+        if want == "stopped" and self.process.up:
+            if self.quiet(now) < self.rest or now > self.told + self.lasts:
+                return  # something came after all; or nobody says any more that it may be stopped
+            self.process.stop(token)
+        elif want in ("starting", "ready") and not self.process.up:
+            self.process.start(token)
+            if not self.process.up:
+                return  # it fell by itself, and comes up by itself
+        self.order, self.done = None, self.order
+
+
+class Agents:
+    """All agents of a machine's process: one word for all each second, and one table of orders."""
+
+    def __init__(self, agents: Iterable[Agent], now: Callable[[], int]) -> None:
+        self.agents, self.now = {agent.name: agent for agent in agents}, now
+        self.cut: set[str] = set()  # hosts whose agents neither hear nor are heard
+
+    def marked(self, marks: Marks) -> None:
+        failed: OSError | None = None
+        for unit, want, token in marks:
+            kind, _, name = unit.partition("/")
+            if kind == "host" and name in self.agents and name not in self.cut:
+                try:
+                    self.agents[name].ordered(self.now(), want, token)
+                except OSError as cause:
+                    failed = cause  # one disk that is full holds up no other host
+        if failed:
+            raise failed
+
+    def say(self, keepers: Keepers) -> None:
+        """Raises what the way to the keepers raises; the next word replaces one that was lost."""
+        now = self.now()
+        words = {}
+        for name, agent in self.agents.items():
+            agent.act(now)
+            if name not in self.cut:
+                words[name] = agent.word(now)
+        if words:
+            keepers.ask({"k": "agents", "hosts": words})
+
+
+class Again:
+    """A greenlet that does one thing again and again; each failure is counted, and waited after, with jitter.
+
+    There is no end to its tries, and none of them is harmful: orders carry tokens, words replace each other.
+    """
+
+    def __init__(self, what: Callable[[], None], every: float, chance: random.Random, log: Any, name: str) -> None:
+        self.what, self.every, self.chance, self.log, self.name = what, every, chance, log, name
+        self.failures, self.trouble, self.wait = 0, "", 0.2
+        self.job = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        self.job.kill(block=False)
+
+    def _run(self) -> None:
+        while True:
+            try:
+                self.what()
+            except Exception as cause:  # whatever keepers or a disk do must not end this
+                self.failures += 1
+                if not self.trouble:
+                    self.log.warning(f"{self.name} fails", cause=f"{type(cause).__name__}: {cause}"[:200])
+                self.trouble = repr(cause)[:200]
+                gevent.sleep(self.wait * (0.5 + self.chance.random()))
+                self.wait = min(LONGEST, 2 * self.wait)
+            else:
+                if self.trouble:
+                    self.log.info(f"{self.name} goes on")
+                self.trouble, self.wait = "", 0.2
+                gevent.sleep(self.every * (0.8 + 0.4 * self.chance.random()))
+
+
+class Follow:
+    """Keepers' marks handed on as they change; what could not be done of them is asked for again."""
+
+    def __init__(self, keepers: Keepers, take: Callable[[Marks], None], wait: int = 2_000) -> None:
+        self.keepers, self.take, self.wait, self.index = keepers, take, wait, -1
+
+    def once(self) -> None:
+        told = self.keepers.marks(self.index, self.wait)
+        if told is not None:
+            index, marks = told
+            self.take(marks)
+            self.index = index
--- a/ironfall/lab/hosts.py
+++ b/ironfall/lab/hosts.py
@@ -72,6 +72,8 @@
         self.errors, self.slow, self.paused_until = 0.0, 1.0, 0.0
         self.failing_class = -1
         self.lies, self.unread = 1.0, False  # what its collectd makes of its gauges
+        self.held_down = False  # its agent stopped it: nothing but its agent starts it
+        self.met = 0.0  # when the last exchange came
         self.running = self.waiting = 0
         self._new()
 
@@ -116,7 +118,7 @@
         self.server.stop(0)
         self.server = None
         self.updater.kill(block=False)
-        self.tell("down", inc=self.incarnation, host=self.id)
+        self.tell("down", inc=self.incarnation, host=self.id, hand=len(self.work))
         gevent.killall(list(self.work), block=False)
         for sock in list(self.socks):
             try:
@@ -126,6 +128,18 @@
                 pass
         self._new()
 
+    def order_down(self, token: int) -> None:
+        """Its agent's act: the work on the host may begin."""
+        self.tell("stops", unit=f"host/{self.name}", inc=self.incarnation, token=token)
+        self.held_down = True
+        self.die()
+
+    def order_up(self, token: int) -> None:
+        if self.held_down:
+            self.tell("starts", unit=f"host/{self.name}", inc=self.incarnation, token=token)
+            self.held_down = False
+            self.fleet.revive(self)
+
     def cut_from(self, zone: str) -> bool:
         return self.silent or (zone != self.zone and bool({zone, self.zone} & self.fleet.cut))
 
@@ -187,6 +201,7 @@
                 back = pb.Answer(id=exchange.id, outcome=outcome, cause=cause, gauges=gauges)  # type: ignore[arg-type]
                 outbox.put(frame(answer=back))
 
+        self.met = begun
         if exchange.host != self.id:
             return answer(pb.REFUSED, "misdirected: another host has this address now")
         work = self._work(exchange)
@@ -318,15 +333,15 @@
     def _notice(self) -> float:
         return 0.5 + self.chance.random()
 
-    def _revive(self, host: Host, cold: bool = True) -> None:
-        if not host.fell and not host.up:
+    def revive(self, host: Host, cold: bool = True) -> None:
+        if not host.fell and not host.up and not host.held_down:
             host.start(cold)
             self.listed(host, "ready", 0.2 + 0.4 * self.chance.random())
 
     def crash(self, host: Host, seconds: float) -> None:
         host.die()
         self.listed(host, "gone", self._notice())
-        gevent.spawn_later(seconds, self._revive, host)
+        gevent.spawn_later(seconds, self.revive, host)
 
     def trouble(self, what: str, words: list[str], seconds: float) -> None:
         """One trouble begins. What lasts ends by itself."""
@@ -343,7 +358,7 @@
             self.crash(host, seconds)
         elif what == "restart":
             host.die()
-            self._revive(host)
+            self.revive(host)
         elif what == "vanish":
             host.silent = True
             self.listed(host, "gone", 3.0 + self.chance.random())
@@ -360,7 +375,7 @@
         elif what == "refuse":
             # The list goes on naming it, and nothing listens there.
             host.die()
-            gevent.spawn_later(seconds, self._revive, host)
+            gevent.spawn_later(seconds, self.revive, host)
         elif what == "errors":
             host.errors = part_of(words[1])
             gevent.spawn_later(seconds, setattr, host, "errors", 0.0)
@@ -385,7 +400,7 @@
 
     def _vanished(self, host: Host) -> None:
         host.die()
-        self._revive(host)
+        self.revive(host)
 
     def _drained(self, host: Host) -> None:
         self.listed(host, "gone", 0.0)
@@ -403,5 +418,5 @@
         self.listed(one, "gone", 0.0)
         self.listed(other, "gone", 0.0)
         one.address, other.address = other.address, one.address
-        self._revive(one)
-        self._revive(other)
+        self.revive(one)
+        self.revive(other)
--- a/ironfall/lab/permits_sim.py
+++ b/ironfall/lab/permits_sim.py
@@ -342,7 +342,7 @@
         if host.alive and host.fence.allows(unit, token):
             if mark == "stopped":
                 host.up, host.stopped = False, True
-            elif mark == "ready" and host.stopped:
+            elif mark in ("starting", "ready") and host.stopped:
                 host.up, host.stopped, host.inc, host.started = True, False, host.inc + 1, self.now
 
     def true(self) -> None:
