--- a/ironfall/permits/terms.py
+++ b/ironfall/permits/terms.py
@@ -1,14 +1,16 @@
 """The `(fleet ...)` part of a service's terms: who keeps the ledger, and what may be out.
 
-`read_fleet` is handed the words of the section; `rules` makes of them the figures that enter the log, so that keepers
-with unlike files still hold the same ledger. Times are tenths of a millisecond, shares parts of a million.
+`rules` makes of them the figures that enter the log, so that keepers with unlike files still hold the same ledger.
+Times are tenths of a millisecond, shares parts of a million.
 """
 
 from dataclasses import asdict, dataclass, fields
 from typing import Any
 
+from ironfall import words
 from ironfall.interface import ServiceTerms
 from ironfall.sexp import Node, Source
+from ironfall.words import Facts, Form
 
 SECOND = 10_000
 MILLION = 1_000_000
@@ -114,12 +116,8 @@
         )  # fmt: skip
 
 
-def read_fleet(source: Source, form: Any, words: Any) -> FleetTerms:
-    """The section from its `form` by `words`, the readers of `ironfall.terms` (handed in: that package imports this).
-
-    Each fault goes to `source` with its place.
-    """
-    usual = FleetTerms()
+def read_fleet(form: Form, facts: Facts) -> FleetTerms:
+    source, usual = form.source, FleetTerms()
     if not form.node.parts:
         return usual
     keepers: list[tuple[str, tuple[str, int]]] = []
@@ -127,7 +125,7 @@
         if len(node.parts) != 3 or not isinstance(node.parts[1].value, str) or not node.parts[1].value:
             source.fault(node.at, 'expected (keeper "NAME" "ADDRESS")')
             continue
-        name, address = node.parts[1].value, words._address(source, node.parts[2])
+        name, address = node.parts[1].value, words.address(source, node.parts[2])
         if name in dict(keepers):
             source.fault(node.parts[1].at, f"keeper {name} is named twice")
         elif address in [a for _, a in keepers]:
@@ -137,19 +135,19 @@
         source.fault(form.node.at, f"a fleet has 3 or 5 keepers (or 1, for a trial), not {len(keepers)}")
     budgets: list[tuple[str, int, float]] = []
     for node in form.all("budget"):
-        budgets += _budget(source, node, words, [scope for scope, _, _ in budgets])
+        budgets += _budget(source, node, [scope for scope, _, _ in budgets])
     for scope in ("fleet", "directors"):
         if scope not in [s for s, _, _ in budgets]:
             source.fault(form.node.at, f"(budget {scope} ...) is missing: without it all may be out at once")
     halt = form.form("halt", False)
-    shares = {"drift": words._part, "margin": words._part}
+    shares = {"drift": words.part, "margin": words.part}
     read = {
-        name: form.get(name, shares.get(name, words._count if name == "voices" else words._time), getattr(usual, name))
+        name: form.get(name, shares.get(name, words.count if name == "voices" else words.time), getattr(usual, name))
         for name in ("lease", "drift", "margin", "age", "empty", "begin", "drain", "back", "voices")
     }
-    kinds = {"unplanned": words._part, "near": words._part, "times": words._count}
+    kinds = {"unplanned": words.part, "near": words.part, "times": words.count}
     read |= {
-        name: halt.get(name, kinds.get(name, words._time), getattr(usual, name))
+        name: halt.get(name, kinds.get(name, words.time), getattr(usual, name))
         for name in ("unplanned", "near", "pause", "times", "heal")
     }
     for name, where in (("lease", form), ("empty", form), ("voices", form), ("pause", halt)):
@@ -159,13 +157,11 @@
         source.fault(form.lists["drift"][0].at, "clocks that drift by half of the time keep no lease")
     if read["voices"] == 1:
         source.fault(form.lists["voices"][0].at, "one director's word is one voice: (voices N) is at least 2")
-    halt.done()
-    form.done()
     return FleetTerms(keepers=tuple(keepers), budgets=tuple(budgets), **read)
 
 
-def _budget(source: Source, node: Node, words: Any, known: list[str]) -> list[tuple[str, int, float]]:
-    form = words._Form(source, node)
+def _budget(source: Source, node: Node, known: list[str]) -> list[tuple[str, int, float]]:
+    form = Form(source, node)
     scope = form.values[0].word if len(form.values) == 1 else ""
     if scope not in SCOPES:
         source.fault(node.at, f"expected (budget SCOPE ...), the scope one of {', '.join(SCOPES)}")
@@ -173,6 +169,6 @@
         source.fault(node.at, f"a second budget of {scope}")
     if not form.lists.get("number") and not form.lists.get("share"):
         source.fault(node.at, "a budget needs (number N), (share N%) or both")
-    number, share = form.get("number", words._count, 1 << 30), form.get("share", words._part, 1.0)
+    number, share = form.get("number", words.count, 1 << 30), form.get("share", words.part, 1.0)
     form.done()
     return [(scope, number, share)] if scope in SCOPES and scope not in known else []
--- a/ironfall/terms/figures.py
+++ b/ironfall/terms/figures.py
@@ -63,4 +63,11 @@
         again = {"always": "may be repeated", "never": "never twice", "keyed": "keyed"}[kind.repeatable]
         text = f"earns {kind.earnings:g} within {_ms(kind.expected_time)}, {again}"
         rows.append((f"class {name}", text))
+    if fleet := terms.fleet if terms.fleet.keepers else None:
+        rows.append(("keepers", ", ".join(f"{n} {host}:{port}" for n, (host, port) in fleet.keepers)))
+        rows.append(("keepers that may be lost", f"{(len(fleet.keepers) - 1) // 2}"))
+        rows.append(("a halt is true for who is cut off after", _ms(round(fleet.lease * (1 + fleet.drift)))))
+        for scope, number, share in fleet.budgets:
+            text = " and ".join([f"{number}"] * (number < 1 << 30) + [f"{share:.1%}"] * (share < 1))
+            rows.append((f"out at once of {scope}", f"at most {text or 'all'}"))
     return rows
--- a/ironfall/terms/whole.py
+++ b/ironfall/terms/whole.py
@@ -6,6 +6,7 @@
 
 from ironfall.files.terms import FilesTerms, read_files
 from ironfall.metrics.terms import MetricsTerms, read_metrics
+from ironfall.permits.terms import FleetTerms, read_fleet
 from ironfall.terms.limits import Limits, read_limits
 from ironfall.terms.proxy import ProxyTerms, read_proxy
 from ironfall.words import Facts, Form
@@ -31,6 +32,7 @@
     proxy: ProxyTerms = field(metadata=by(read_proxy))
     metrics: MetricsTerms = field(metadata=by(read_metrics))
     files: FilesTerms = field(metadata=by(read_files))
+    fleet: FleetTerms = field(metadata=by(read_fleet))
 
 
 def read_sections(top: Form, facts: Facts) -> dict[str, Any]:
