Judge the fleet by tapes alone, and try agents, registry and ledger in a small fleet under faults

Two holes in the ledger's marks were found on the way, each mended with a test: what a halt calls back and no agent had stopped yet was still told as 'stopped', and stopped after the halt and its lease; a host on its way back was told 'ready' to the registry while an older order to stop could still reach its agent. It is 'starting' until the agent acts.

--- a/ironfall/lab/agents.py
+++ b/ironfall/lab/agents.py
@@ -124,7 +124,7 @@
             self.process.start(token)
             if not self.process.up:
                 return  # it fell by itself, and comes up by itself
-        self.order, self.done = None, self.order
+        self.done, self.order = self.order, None
 
 
 class Agents:
--- a/ironfall/lab/fleet_sim.py
+++ b/ironfall/lab/fleet_sim.py
@@ -206,7 +206,7 @@
                 # The judge's figures leave room for one such: what can't be reached can't be taken back.
                 self.after(lambda h=held, n=name: h.discard(n), pick.randrange(15 * SECOND))  # type: ignore[misc]
         if pick.random() < 0.05:
-            name = pick.choice(names)
+            name = pick.choice([*self.hosts, *["registry"] * 8])
             self.begin_registry() if name == "registry" else self.begin_agent(name)
             # It may turn to a keeper that lags.
             self.mark(name, self.marked[0][1])
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -11,7 +11,13 @@
 from ironfall.director.member import Membership
 from ironfall.director.sessions import Sessions
 from ironfall.director.stands import Stands
-from ironfall.publication import Publication
+from ironfall.lab.agents import Agent, Kept
+from ironfall.lab.fleet_judge import Fleet, FleetJudge
+from ironfall.lab.fleet_sim import WRONG, Sim, wrong
+from ironfall.lab.registry import Marking, Telling
+from ironfall.permits import Fence
+from ironfall.publication import Holding, Publication
+from tests.disks import Disk as FakeDisk
 from tests.rig import Rig, until
 from tests.test_director import bound
 
@@ -119,8 +125,6 @@
 @pytest.mark.parametrize("seed", range(30))
 def test_what_is_confirmed_is_held_by_none(seed):
     """Against the proxies' own holdings: whatever is ordered, told, compacted or joined between two looks."""
-    from ironfall.publication import Holding
-
     chance, it = random.Random(seed), Director()
     it.published.versions = 6
     holdings, said = {}, 0
@@ -275,3 +279,197 @@
         lapsed.append(rig.live.epoch)
         until(lambda: words()[-1]["inc"] == rig.live.epoch + 1, 15)
         assert [word["n"] for word in words() if word["inc"] == rig.live.epoch + 1][0] == 1
+
+
+# agents and the registry's stand-in
+
+
+class Process:
+    def __init__(self):
+        self.up, self.incarnation, self.busy, self.last, self.held, self.did = True, 1, 0, 0, False, []
+
+    def hand(self):
+        return self.busy
+
+    def came(self):
+        return self.last
+
+    def stop(self, token):
+        self.up, self.held = False, True
+        self.did.append(("stop", token))
+
+    def start(self, token):
+        if self.held:
+            self.up, self.held, self.incarnation = True, False, self.incarnation + 1
+            self.did.append(("start", token))
+
+
+def agent_of(disk, process=None, now=0):
+    kept = Kept(disk, "h0.kept")
+    fence = Fence(kept.state["tokens"])
+    process = process or Process()
+    return Agent("h0", process, fence, lambda: kept.save(tokens=fence.state()), kept.first(), now, SECOND, 5 * SECOND,
+                 lambda *_, **__: None)  # fmt: skip
+
+
+def test_an_agent_stops_only_a_host_with_nothing_in_hand_and_says_what_it_acted_on():
+    it = agent_of(FakeDisk())
+    assert it.ordered(0, "leaving", 5) and it.word(10)["token"] == 5
+    it.process.busy, it.process.last = 1, 4 * SECOND
+    assert it.ordered(5 * SECOND, "stopped", 8) and it.process.up
+    assert (it.word(5 * SECOND)["quiet"], it.word(5 * SECOND)["token"]) == (0, 5)
+    it.process.busy = 0
+    it.act(5 * SECOND - 1)
+    assert it.process.up, "something came a moment ago"
+    it.act(5 * SECOND)
+    assert it.process.did == [("stop", 8)]
+    word = it.word(6 * SECOND)
+    assert (word["up"], word["token"], word["quiet"]) == (False, 8, 2 * SECOND)
+    assert it.ordered(7 * SECOND, "starting", 9) and it.process.did[-1] == ("start", 9)
+    assert it.word(7 * SECOND)["quiet"] == 0 and it.word(7 * SECOND)["inc"] == 2
+    assert not it.ordered(8 * SECOND, "stopped", 8) and it.process.up
+
+
+def test_an_order_to_stop_that_nobody_tells_again_is_not_done():
+    it = agent_of(FakeDisk())
+    it.process.busy = 1
+    it.ordered(0, "stopped", 8)
+    it.process.busy = 0
+    it.act(5 * SECOND + 1)
+    assert it.process.up, "a halt may have called it back, and no word came through"
+    it.ordered(6 * SECOND, "leaving", 8)
+    it.ordered(7 * SECOND, "stopped", 8)
+    assert not it.process.up, "lifted, and told again"
+
+
+def test_agents_and_registry_refuse_older_orders_over_a_restart_a_full_disk_and_a_crash():
+    disk = FakeDisk()
+    it = agent_of(disk)
+    assert it.ordered(0, "leaving", 20)
+    first = it.word(1)["n"]
+    again = agent_of(disk)
+    assert not again.ordered(9 * SECOND, "stopped", 12) and again.process.up
+    assert again.word(1)["n"] > first, "numbers count up over starts"
+    disk.full_from = 0
+    with pytest.raises(OSError):
+        again.ordered(9 * SECOND, "stopped", 21)
+    assert again.process.up and again.word(1)["token"] == 0
+    disk.full_from = -1
+    assert again.ordered(9 * SECOND, "stopped", 21) and not again.process.up
+    assert agent_of(disk).fence.tokens == {"host/h0": 21}
+    disk.files["h0.kept"] = disk.files["h0.kept"][:-2]
+    with pytest.raises(ValueError, match="h0.kept: byte 0"):
+        agent_of(disk)
+
+
+def marking_of(disk):
+    kept = Kept(disk, "registry.kept")
+    return Marking(kept.state["tokens"], kept.state.get("leaving", []), kept.save, lambda *_, **__: None)
+
+
+def test_the_registry_shows_the_newest_mark_and_keeps_it_over_a_restart():
+    disk, row = FakeDisk(), {"name": "h0", "state": "ready"}
+    it = marking_of(disk)
+    assert it.dress(row) == row
+    assert it.marked([("host/h0", "leaving", 7), ("director/d1", "leaving", 8)]) == ["h0"]
+    assert it.dress(row) == row | {"state": "draining", "token": 7}
+    assert it.dress(row | {"state": "gone"})["state"] == "gone"
+    assert it.marked([("host/h0", "leaving", 7)]) == [], "told again"
+    it = marking_of(disk)
+    assert it.dress(row)["state"] == "draining" and it.marked([("host/h0", "ready", 6)]) == []
+    assert it.marked([("host/h0", "starting", 9)]) == [] and it.dress(row)["token"] == 7
+    disk.full_from = 0
+    with pytest.raises(OSError):
+        it.marked([("host/h0", "ready", 9)])
+    assert it.dress(row) == row | {"state": "draining", "token": 7}
+    disk.full_from = -1
+    assert it.marked([("host/h0", "ready", 9)]) == ["h0"] and it.dress(row) == row | {"token": 9}
+    assert it.marked([("host/h0", "leaving", 9)]) == [], "late, under the token of its way back"
+
+
+def test_the_list_is_told_until_it_is_known_to_be_told():
+    it = Telling(5)
+    assert it.entry() is None
+    it.changed("h0", {"ready": True})
+    it.changed("h1", None)
+    first = it.entry()
+    assert (first["v"], list(first["hosts"]), first["gone"]) == (6, ["h0"], ["h1"])
+    it.changed("h0", {"ready": False})  # while it is on its way
+    it.told(first)
+    second = it.entry()
+    assert (second["v"], second["hosts"], second["gone"]) == (7, {"h0": {"ready": False}}, [])
+    assert it.entry()["v"] == 8, "nobody knows what became of the last: again, under a newer number"
+
+
+# the judge
+
+
+def judged(*rows, budgets=(("fleet", 1, 1_000_000), ("zone", 1, 1_000_000))):
+    hosts = {f"h{n}": (f"z{n % 2}", "k", ("t",)) for n in range(4)}
+    fleet = Fleet(hosts, {"d1": "z0", "d2": "z1"}, (*budgets, ("directors", 1, 1_000_000)), 8 * SECOND, 0,
+                  2 * SECOND, 3 * SECOND, 60 * SECOND)  # fmt: skip
+    tape = [{"t": int(t * SECOND), "e": what, "who": who, **about} for t, what, who, about in rows]
+    rules = FleetJudge(fleet).read(tape).verdict(100 * SECOND)
+    return {name for name, rule in rules.items() if rule.breaks}
+
+
+def shown(t, host, state, token):
+    return t, "shown", "registry", {"unit": f"host/{host}", "state": state, "token": token,
+                                    "leaving": state == "draining"}  # fmt: skip
+
+
+def act(t, what, who, token, unit=None):
+    return t, what, who, {"unit": unit or f"host/{who}", "inc": 1, "token": token}
+
+
+def down(t, who, hand=0):
+    return t, "down", who, {"inc": 1, "hand": hand}
+
+
+def up(t, who):
+    return t, "up", who, {"inc": 2}
+
+
+WORK = [shown(1, "h0", "draining", 5), act(9, "stops", "h0", 7), down(9.01, "h0"), act(20, "starts", "h0", 9),
+        up(20.1, "h0"), shown(21, "h0", "ready", 9)]  # fmt: skip
+
+
+@pytest.mark.parametrize("broken, rows", [
+    ("", WORK),
+    ("", [*WORK, shown(22, "h1", "draining", 12), shown(25, "h1", "ready", 14)]),
+    ("budget", [*WORK[:2], shown(19, "h1", "draining", 12), *WORK[3:], shown(25, "h1", "ready", 14)]),
+    ("budget", [down(0.5, "h2"), *[(t + 9, *row) for t, *row in WORK]]),  # lost long before, and planned on top
+    ("", [down(1.5, "h2"), up(4, "h2"), *[(t + 2, *row) for t, *row in WORK]]),  # nobody could know of it yet
+    ("budget", [shown(1, "h0", "draining", 5), down(3, "h2"), shown(10, "h0", "ready", 7)]),  # gave way too late
+    ("", [shown(1, "h0", "draining", 5), down(3, "h2"), shown(7, "h0", "ready", 7)]),
+    ("halt", [(0.1, "halt", "operators", {"scope": "zone z0"}), *[(t + 9, *row) for t, *row in WORK]]),
+    ("", [(0.1, "halt", "operators", {"scope": "zone z1"}), *[(t + 9, *row) for t, *row in WORK]]),
+    ("", [(0.1, "halt", "operators", {"scope": "all"}), (2, "lift", "operators", {"scope": "all"}),
+          *[(t + 9, *row) for t, *row in WORK]]),
+    ("halt", [WORK[0], (1.1, "halt", "operators", {"scope": "tenant t"}), *[(t + 3, *row) for t, *row in WORK[1:]]]),
+    ("hand", [*WORK[:2], down(9.01, "h0", 2), *WORK[3:]]),
+    ("hand", WORK[1:]),  # while the list calls it ready
+    ("token", [*WORK[:-1], shown(21, "h0", "ready", 9), shown(22, "h0", "ready", 8)]),
+    ("token", [*WORK, shown(22, "h0", "draining", 12), act(23, "stops", "h0", 7), act(24, "starts", "h0", 15),
+               shown(25, "h0", "ready", 15)]),
+    ("ends", WORK[:-1]),
+    ("ends", WORK[:3]),
+    ("budget", [act(1, "stops", "d1", 3, "director/d1"), down(1.01, "d1"), act(2, "stops", "d2", 4, "director/d2"),
+                down(2.01, "d2"), act(3, "starts", "d1", 5, "director/d1"), up(3, "d1"),
+                act(4, "starts", "d2", 6, "director/d2"), up(4, "d2")]),
+])  # fmt: skip
+def test_the_judge_finds_each_fault_and_no_other(broken, rows):
+    assert judged(*rows) == ({broken} if broken else set())
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_a_small_fleet_under_faults_keeps_the_rules(seed):
+    sim = Sim(seed)
+    assert not any(rule.breaks for rule in sim.run().values())
+    assert any(row["e"] == "starts" for row in sim.tape), "nothing was worked on"
+
+
+@pytest.mark.parametrize("name", WRONG)
+def test_each_wrong_actor_is_caught_by_name(name):
+    rule = WRONG[name][1]
+    assert any(wrong(name)(seed).run()[rule].breaks for seed in range(12))
