--- a/ironfall/cli/lab.py
+++ b/ironfall/cli/lab.py
@@ -7,7 +7,7 @@
 
 import click
 
-from ironfall.cli.common import ADDRESS, FILE, main
+from ironfall.cli.common import ADDRESS, FILE, main, terms_from
 from ironfall.cli.run import director_options, run_director
 from ironfall.terms import Unreadable
 
@@ -40,8 +40,10 @@
 @click.option("--seed", type=int, default=1)
 @click.option("--net", default="127.0", help="The first half of the hosts' loopback addresses.")
 @click.option("--readings", multiple=True, help="ZONE,HOST:PORT of a director that hosts' collectd sends to.")
-def lab_hosts(day: Path, registry: Any, control: Any, tape: Path, seed: int, net: str,
-              readings: tuple[str, ...]) -> None:  # fmt: skip
+@click.option("--kept", type=click.Path(path_type=Path), help="A folder: agents and registry stand beside keepers.")
+@click.option("--terms", "other", type=FILE, help="In place of the terms that the day names.")
+def lab_hosts(day: Path, registry: Any, control: Any, tape: Path, seed: int, net: str, readings: tuple[str, ...],
+              kept: Path | None, other: Path | None) -> None:  # fmt: skip
     """Run the emulated hosts of DAY and a stand-in for their registry, until SIGTERM."""
     import gevent
 
@@ -51,7 +53,8 @@
 
     written, read = Tape(tape), load(day)
     to = [(zone, ADDRESS.convert(address, None, None)) for zone, _, address in (r.partition(",") for r in readings)]
-    served = gevent.spawn(serve_fleet, read, terms_of(read), registry, control, written, seed, net, to)
+    terms = terms_from(other) if other else terms_of(read)
+    served = gevent.spawn(serve_fleet, read, terms, registry, control, written, seed, net, to, kept)
     served.link_exception(lambda _: sys.exit(1))
     until_told(written)
 
--- a/ironfall/director/member.py
+++ b/ironfall/director/member.py
@@ -13,6 +13,7 @@
 from ironfall.director import explain
 from ironfall.director.live import Live
 from ironfall.director.stands import Stands
+from ironfall.keeper import client
 
 SECOND = 10_000
 EVERY = 1.0  # seconds between two words
@@ -26,6 +27,24 @@
         ...
 
 
+class Unheard(OSError):
+    """No keeper said what became of an entry."""
+
+
+class Way:
+    """`Keepers` by their client end, each ask within `seconds`."""
+
+    def __init__(self, client: client.Keepers, seconds: float) -> None:
+        self.client, self.seconds = client, seconds
+
+    def ask(self, entry: dict[str, Any]) -> Any:
+        heard = self.client.ask(entry, self.seconds)
+        if heard.why:
+            # In doubt it may have come into effect: leases, words and lists may come twice without harm.
+            raise Unheard(f"{heard.why}: {heard.text}")
+        return heard.told.get("answer")
+
+
 class Membership:
     """The lease and the numbers of words; pure. Times are those of a clock that never stands still.
 
--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -20,11 +20,12 @@
 from ironfall.director.clock import Clock
 from ironfall.director.intake import sane
 from ironfall.director.live import Live
-from ironfall.director.member import Keepers, Member
+from ironfall.director.member import Keepers, Member, Way
 from ironfall.director.sessions import Full, Session, due
 from ironfall.director.turns import Decide
 from ironfall.files.service import Files
 from ironfall.generated import ironfall_pb2 as pb
+from ironfall.keeper.client import Keepers as KeepersClient
 from ironfall.logic import Director
 from ironfall.metrics.point import Malformed
 from ironfall.metrics.service import Metrics
@@ -62,9 +63,13 @@
         self.loop: gevent.Greenlet | None = None
         self.files = Files(self.live, terms.files, log) if terms.files.path else None
         self.member: Member | None = None
+        fleet = terms.fleet
+        if keepers is None and fleet.keepers:
+            client = KeepersClient(fleet.keepers, f"director {name}"[:100], random.Random(seed + 3), monotonic)
+            keepers = Way(client, fleet.lease / SECOND / 4)
         if keepers is not None:
-            lease, drift = 10 * SECOND, 0.01
-            self.member = Member(self.live, keepers, name, self.zone, __version__, lease, drift, seed + 2, monotonic)
+            self.member = Member(self.live, keepers, name, self.zone, __version__, fleet.lease, fleet.drift, seed + 2,
+                                 monotonic)  # fmt: skip
 
     # life
 
--- a/ironfall/lab/agents.py
+++ b/ironfall/lab/agents.py
@@ -7,26 +7,32 @@
 import json
 import random
 from collections.abc import Callable, Iterable
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import gevent
 
+from ironfall.director.member import Unheard, Way
 from ironfall.durable.disk import Disk
 from ironfall.durable.records import seal, unseal
 from ironfall.permits import Fence
 
+if TYPE_CHECKING:
+    from ironfall.lab.hosts import Fleet, Host
+
 SECOND = 10_000
 EVERY = 1.0  # seconds between two words
 LONGEST = 5.0  # seconds between two tries
+REST = SECOND  # without any exchange, before an agent stops its host
 Marks = list[tuple[str, str, int]]  # unit, what it is to be (leaving, stopped, starting, ready), token
 
 
 class Process(Protocol):
     """A host's process, as its agent sees it. Times are tenths of a millisecond."""
 
-    up: bool
-    incarnation: int
-
+    @property
+    def up(self) -> bool: ...
+    @property
+    def incarnation(self) -> int: ...
     def hand(self) -> int: ...  # exchanges that came and are not answered
     def came(self) -> int: ...  # when the last one came
     def stop(self, token: int) -> None: ...
@@ -37,7 +43,18 @@
     """The way to the keepers, for one greenlet at a time. Both raise where nobody answers."""
 
     def ask(self, entry: dict[str, Any]) -> Any: ...
-    def marks(self, after: int, wait: int) -> tuple[int, Marks] | None: ...  # None: nothing new within `wait` ms
+    def marks(self, after: int, wait: int) -> tuple[int, Marks]: ...  # once changed, or as they are after `wait` ms
+
+
+class Ways(Way):
+    """`Keepers` by their client end."""
+
+    def marks(self, after: int, wait: int) -> tuple[int, Marks]:
+        heard = self.client.marks(after, wait / 1000)
+        if heard.why:
+            raise Unheard(f"{heard.why}: {heard.text}")
+        marks = [(str(unit), str(want), int(token)) for unit, want, token in heard.told["marks"]]
+        return int(heard.told["index"]), marks
 
 
 class Kept:
@@ -191,14 +208,45 @@
 
 
 class Follow:
-    """Keepers' marks handed on as they change; what could not be done of them is asked for again."""
+    """Keepers' marks handed on as they change, and now and then as they stand; what could not be done of them is asked
+    for again."""
 
-    def __init__(self, keepers: Keepers, take: Callable[[Marks], None], wait: int = 2_000) -> None:
+    def __init__(self, keepers: Keepers, take: Callable[[Marks], None], wait: int = 1_000) -> None:
         self.keepers, self.take, self.wait, self.index = keepers, take, wait, -1
 
     def once(self) -> None:
-        told = self.keepers.marks(self.index, self.wait)
-        if told is not None:
-            index, marks = told
-            self.take(marks)
-            self.index = index
+        index, marks = self.keepers.marks(self.index, self.wait)
+        self.take(marks)
+        self.index = index
+
+
+class Watched:
+    """An emulated host as its agent sees it."""
+
+    def __init__(self, host: "Host") -> None:
+        self.host, self.stop, self.start = host, host.order_down, host.order_up
+
+    @property
+    def up(self) -> bool:
+        return self.host.up
+
+    @property
+    def incarnation(self) -> int:
+        return self.host.incarnation
+
+    def hand(self) -> int:
+        return len(self.host.work)
+
+    def came(self) -> int:
+        return int(self.host.met * SECOND)
+
+
+def watch(fleet: "Fleet", keepers: Callable[[str], Keepers], kept: Kept, now: Callable[[], int], lasts: int,
+          chance: random.Random, log: Any) -> tuple[Agents, list[Again]]:  # fmt: skip
+    """Agents on all hosts of a process, with one state between them. `lasts` as `Agent` has it."""
+    fence = Fence(kept.state["tokens"])
+    agents = Agents([Agent(host.name, Watched(host), fence, lambda: kept.save(tokens=fence.state()), kept.first(),
+                           now(), REST, lasts, host.tell) for host in fleet.hosts.values()], now)  # fmt: skip
+    says, hears = keepers("agents"), Follow(keepers("agents"), agents.marked)
+    return agents, [Again(lambda: agents.say(says), EVERY, chance, log, "telling of hosts"),
+                    Again(hears.once, 0.0, chance, log, "following marks")]  # fmt: skip
--- a/ironfall/lab/fleet_sim.py
+++ b/ironfall/lab/fleet_sim.py
@@ -268,8 +268,8 @@
         """The agents' way to the keepers."""
         return self.put(**{("kind" if k == "k" else k): v for k, v in entry.items()})
 
-    def marks(self, after: int, wait: int) -> None:
-        raise NotImplementedError
+    def marks(self, after: int, wait: int) -> tuple[int, Marks]:
+        return self.index, list(self.ledger.marks())
 
     def holder(self) -> None:
         self.put("hold", holder="s", inc=1)
--- a/ironfall/lab/play.py
+++ b/ironfall/lab/play.py
@@ -18,9 +18,13 @@
 from typing import Any
 
 import gevent
+import structlog
 from gevent.server import StreamServer
 
+from ironfall.durable.disk import Disk, Folder
 from ironfall.files.notation import read_set
+from ironfall.keeper.client import Keepers
+from ironfall.lab.agents import Again, Kept, Ways, watch
 from ironfall.lab.clients import rates
 from ironfall.lab.day import Day, Trouble, beside, load, part_of, seconds_of
 from ironfall.lab.hosts import Fleet
@@ -59,12 +63,15 @@
 
 
 def serve_fleet(day: Day, terms: Terms, registry: tuple[str, int], control: tuple[str, int], tape: Tape,
-                seed: int, net: str, readings: list[To]) -> None:  # fmt: skip
+                seed: int, net: str, readings: list[To], kept: Path | None = None) -> None:  # fmt: skip
     """The process of hosts and registry; troubles come as lines of JSON on the control address. `readings`: the
-    directors that hosts' own collectd sends to."""
+    directors that hosts' own collectd sends to. `kept`: a folder of registry and agents, which then stand beside the
+    keepers of the terms."""
     fleet = Fleet(day, terms, tape.teller, seed, net)
     listing = Registry(registry, fleet, tape.teller("registry"))
     fleet.start()
+    if kept and terms.fleet.keepers:
+        beside_keepers(fleet, listing, terms, Folder(kept), seed)
     listing.start()
     if day.readings and readings:
         Nodes(fleet, day.readings, readings, seed)
@@ -83,6 +90,23 @@
     StreamServer(control, command).serve_forever()
 
 
+def beside_keepers(fleet: Fleet, listing: Registry, terms: Terms, disk: Disk, seed: int) -> list[Again]:
+    """What stops the host's end of it again."""
+    chance, log, lease = random.Random(seed), structlog.get_logger(), terms.fleet.lease
+
+    def keepers(who: str) -> Ways:
+        return Ways(Keepers(terms.fleet.keepers, who, chance), lease / SECOND / 4)
+
+    def wall(at: float) -> int:
+        return int((time.time() - time.monotonic() + at) * SECOND)
+
+    listing.beside(keepers("registry"), keepers("registry"), Kept(disk, "registry"), wall, chance, log)
+    # A keeper that tells marks may not have heard its leader for a while, half of a lease at the most.
+    _, jobs = watch(fleet, keepers, Kept(disk, "agents"), lambda: int(time.monotonic() * SECOND), lease // 2, chance,
+                    log)  # fmt: skip
+    return [*listing.jobs, *jobs]
+
+
 def until_told(tape: Tape | None, also: Callable[[], None] = lambda: None) -> None:
     """Wait for SIGTERM or SIGINT, writing the tape out now and then."""
     done = gevent.event.Event()
