--- a/ironfall/lab/play.py
+++ b/ironfall/lab/play.py
@@ -27,10 +27,11 @@
 from ironfall.lab.agents import Again, Kept, Ways, watch
 from ironfall.lab.clients import rates
 from ironfall.lab.day import Day, Trouble, beside, load, part_of, seconds_of
+from ironfall.lab.fleet_judge import Fleet as FleetFacts
 from ironfall.lab.hosts import Fleet
 from ironfall.lab.judge import Judge, Verdict
 from ironfall.lab.nodes import Nodes, To
-from ironfall.lab.registry import Registry
+from ironfall.lab.registry import Registry, kind_of
 from ironfall.lab.tape import SECOND, Tape, read
 from ironfall.lab.wires import Wire
 from ironfall.terms import Terms, read_terms
@@ -107,6 +108,16 @@
     return [*listing.jobs, *jobs]
 
 
+def fleet_of(day: Day, terms: Terms) -> FleetFacts:
+    """What the fleet's judge goes by: what must be known of within a lease, under way within another."""
+    fleet, notice = terms.fleet, terms.fleet.lease + 3 * SECOND
+    return FleetFacts(
+        {line.name: (line.zone, kind_of(line), ()) for line in day.hosts}, dict(day.directors),
+        fleet.rules(terms.service).budgets, fleet.lease, round(fleet.drift * 1_000_000), notice, notice,
+        fleet.begin + fleet.drain + 2 * fleet.back + round(day.length * SECOND),
+    )  # fmt: skip
+
+
 def until_told(tape: Tape | None, also: Callable[[], None] = lambda: None) -> None:
     """Wait for SIGTERM or SIGINT, writing the tape out now and then."""
     done = gevent.event.Event()
--- a/ironfall/lab/registry.py
+++ b/ironfall/lab/registry.py
@@ -17,12 +17,17 @@
 
 from ironfall.api.http import Answer, Bounds, HttpServer, Refused, Request
 from ironfall.lab.agents import Again, Follow, Keepers, Kept, Marks
+from ironfall.lab.day import HostLine
 from ironfall.lab.hosts import Fleet, Host
 from ironfall.permits import Fence
 
 HISTORY = 500
 
 
+def kind_of(line: HostLine) -> str:
+    return f"{line.cores} cores"
+
+
 class Marking:
     """Which hosts keepers want marked, by the newest token of each; pure. `save` keeps it before it is shown."""
 
@@ -144,7 +149,7 @@
                 self.telling.changed(name, None)
             return
         self.telling.changed(name, {
-            "zone": row["zone"], "kind": f"{line.cores} cores", "strength": round(1000 * line.cores * line.speed),
+            "zone": row["zone"], "kind": kind_of(line), "strength": round(1000 * line.cores * line.speed),
             "classes": (1 << len(self.fleet.terms.classes)) - 1, "ready": row["state"] == "ready",
             "token": row.get("token", 0), "started": self.wall(row["began"]),
         })  # fmt: skip
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -3,22 +3,32 @@
 import copy
 import random
 import time
+from dataclasses import replace
 
 import gevent
 import pytest
+import structlog
 
 from ironfall.director.channel import Channel
 from ironfall.director.member import Membership
+from ironfall.director.program import Program
 from ironfall.director.sessions import Sessions
 from ironfall.director.stands import Stands
+from ironfall.durable.disk import Folder
 from ironfall.lab.agents import Agent, Kept
 from ironfall.lab.fleet_judge import Fleet, FleetJudge
 from ironfall.lab.fleet_sim import WRONG, Sim, wrong
-from ironfall.lab.registry import Marking, Telling
+from ironfall.lab.day import read_day
+from ironfall.lab.hosts import Fleet as HostFleet
+from ironfall.lab.play import beside_keepers, fleet_of
+from ironfall.lab.registry import Marking, Registry, Telling
+from ironfall.lab.tape import Tape, read
 from ironfall.permits import Fence
 from ironfall.publication import Holding, Publication
+from ironfall.terms import read_terms
 from tests.disks import Disk as FakeDisk
-from tests.rig import Rig, until
+from tests.keepers import Group
+from tests.rig import Peer, Rig, until
 from tests.test_director import bound
 
 SECOND = 10_000
@@ -473,3 +483,102 @@
 def test_each_wrong_actor_is_caught_by_name(name):
     rule = WRONG[name][1]
     assert any(wrong(name)(seed).run()[rule].breaks for seed in range(12))
+
+
+# all of them, with a real keeper
+
+DAY = """terms fleet.sexp
+length 60s
+hosts east 5 cores 2
+hosts west 5 cores 2
+proxies east 1
+director east
+demand 10
+class lookup share 60% work 20ms
+class order share 40% work 20ms
+"""
+
+
+class Together:
+    """Hosts, agents, registry and a director of this process beside a keeper of its own."""
+
+    def __init__(self, group):
+        self.terms = read_terms("fleet.sexp", group.file.read_text())
+        folder = group.folder
+        self.day = read_day(str(folder / "x.day"), DAY)
+        self.tape = Tape(folder / "all.tape")
+        self.lab = HostFleet(self.day, self.terms, self.tape.teller, 1, f"127.{random.Random().randrange(20, 250)}")
+        self.registry = Registry(("127.0.0.1", 0), self.lab, self.tape.teller("registry"))
+        self.lab.start()
+        self.disk = Folder(folder / "kept")
+        self.jobs = beside_keepers(self.lab, self.registry, self.terms, self.disk, 1)
+        self.registry.start()
+        own = replace(self.terms, listen=("127.0.0.1", 0), registry=("127.0.0.1", self.registry.server.port))
+        self.director = Program(own, structlog.get_logger(), "d1", "east", seed=1)
+        self.director.start()
+        self.live, self.address = self.director.live, ("127.0.0.1", self.director.server.port)
+
+    def stop(self):
+        for job in self.jobs:
+            job.stop()
+        self.director.stop()
+        self.registry.server.stop(0)
+        for host in self.lab.hosts.values():
+            host.die()
+        self.disk.close()
+        self.tape.flush()
+
+    def follow(self):
+        """A proxy that does as it is told."""
+        peer, holding = Peer(self, "p1", "east", 10.0), Holding(2, {})
+        holding.join(peer.joined.epoch, peer.joined.version)
+        while True:
+            _, state = peer.poll(version=holding.version, wait_ms=500)
+            if state is not None:
+                holding.apply(state)
+
+
+def test_a_host_goes_out_and_comes_back_with_a_keeper_director_agent_and_registry(tmp_path):
+    group = Group(tmp_path, 1)
+    group.file.write_text(group.file.read_text().replace("(lease 10s)", "(lease 3s) (empty 1s)"))
+    with group:
+        it = Together(group)
+        proxy = gevent.spawn(it.follow)
+        try:
+            asker = group.asker("holder")
+
+            def do(kind, **about):
+                return asker.ask({"k": kind, "holder": "s", "inc": 1, **about}, 10.0)
+
+            def permit():
+                return asker.look(2.0).told.get("ledger", {}).get("permits", {}).get("host/h03", {})
+
+            def step(kind, **about):
+                heard = do(kind, unit="host/h03", token=permit().get("token", 0), **about)
+                assert heard.done, heard
+
+            def hold():
+                while True:
+                    do("hold")
+                    gevent.sleep(0.7)
+
+            holding = gevent.spawn(hold)
+            until(lambda: do("hold").done and it.director.status()["member"]["lease_s"] > 0)
+            until(lambda: do("ask", n=1, units=["host/h03"], length=SECOND).done)
+            until(lambda: permit().get("state") == "granted")
+            step("drain")
+            until(lambda: "h03" in str(it.live.publication.outs))
+            until(lambda: permit().get("state") == "empty", 20)
+            assert it.lab.hosts["h03"].up
+            step("out")
+            until(lambda: not it.lab.hosts["h03"].up)
+            step("back")
+            until(lambda: it.lab.hosts["h03"].up and not permit(), 20)
+            assert it.registry.rows[it.lab.hosts["h03"].id]["state"] == "ready"
+            holding.kill()
+        finally:
+            proxy.kill()
+            it.stop()
+    rules = FleetJudge(fleet_of(it.day, it.terms)).read(read(tmp_path / "all.tape"))
+    assert not any(rule.breaks for rule in rules.verdict(0).values())
+    assert [row["e"] for row in read(tmp_path / "all.tape") if row["e"] in ("stops", "starts")] == ["stops", "starts"]
