--- a/ironfall/lab/day.py
+++ b/ironfall/lab/day.py
@@ -26,15 +26,17 @@
 from pathlib import Path
 
 # Each trouble, and the words it takes after its name: h a host, z a zone, d a director, c a class, p a part, t a time,
-# x a number, f a file beside the day's. `for TIME` says how long it lasts; those without it are over at once.
+# x a number, f a file beside the day's, s all or a zone. Keepers are killed and stopped as directors are. `for TIME`
+# says how long it lasts; those without it are over at once.
 TROUBLES = {
     "crash": "h", "restart": "h", "vanish": "h", "hang": "h", "drain": "h", "errors": "hp", "slow": "hx", "pause": "ht",
     "classfail": "hc", "swap": "hh", "refuse": "h", "lose": "z", "cut": "z", "break": "p", "kill": "d", "stop": "d",
-    "unlist": "h", "late": "t", "lie": "hx", "unread": "h",
+    "unlist": "h", "late": "t", "lie": "hx", "unread": "h", "work": "h", "halt": "s",
     "adopt": "f", "err": "f", "scribble": "fp",
 }  # fmt: skip
 LASTING = {"crash", "vanish", "hang", "errors", "slow", "pause", "classfail", "lose", "cut", "kill", "stop", "drain",
-           "refuse", "unlist", "late", "lie", "unread"}  # fmt: skip
+           "refuse", "unlist", "late", "lie", "unread", "work", "halt"}  # fmt: skip
+KEEPERS = tuple(f"k{n}" for n in range(1, 6))  # as a day's terms call theirs
 
 
 class BadDay(Exception):
@@ -210,8 +212,9 @@
 
 def _check(day: Day) -> None:
     zones = {h.zone for h in day.hosts} | {z for _, z in day.proxies} | {z for _, z in day.directors}
-    known = {"h": {h.name for h in day.hosts}, "z": zones, "d": {n for n, _ in day.directors}, "c": set(day.classes)}
-    names = {"h": "host", "z": "zone", "d": "director", "c": "class"}
+    known = {"h": {h.name for h in day.hosts}, "z": zones, "s": zones | {"all"}, "c": set(day.classes),
+             "d": {*(n for n, _ in day.directors), *KEEPERS}}  # fmt: skip
+    names = {"h": "host", "z": "zone", "d": "director", "c": "class", "s": "zone"}
     for trouble in day.troubles:
         line = _Line(day.file, trouble.line, list(trouble.words))
         for letter in TROUBLES[trouble.what]:
--- a/ironfall/lab/fleet_judge.py
+++ b/ironfall/lab/fleet_judge.py
@@ -2,7 +2,7 @@
 agents, directors and operators alone. What keepers say counts for nothing here. Pure.
 
     shown   registry: unit, state as it is listed from now on, token acted on, whether that means leaving
-    stops, starts   a host's or director's agent: unit, inc, token
+    stopped, started   a host's or director's agent: unit, inc, token
     up, down        a host or director itself; `hand`: exchanges that were in hand when it went
     halt, lift      an operator, once a keeper said that it is done: scope
 
@@ -119,7 +119,7 @@
         if begins:
             self._begins(t, name, unit, "is marked")
 
-    def _on_stops(self, t: int, row: dict[str, Any]) -> None:
+    def _on_stopped(self, t: int, row: dict[str, Any]) -> None:
         name = row["unit"]
         if (unit := self.units.get(name)) is None:
             return
@@ -132,7 +132,7 @@
             unit.stopped, unit.stops = True, (t, row["inc"])
         self._begins(t, name, unit, "is stopped")
 
-    def _on_starts(self, t: int, row: dict[str, Any]) -> None:
+    def _on_started(self, t: int, row: dict[str, Any]) -> None:
         if unit := self.units.get(row["unit"]):
             self._acts(row["unit"], unit, row["who"], row["token"])
             with _Counted(self, unit):
--- a/ironfall/lab/fleet_sim.py
+++ b/ironfall/lab/fleet_sim.py
@@ -41,13 +41,13 @@
         return self.last
 
     def stop(self, token: int) -> None:
-        self.sim.tell(self.name, "stops", unit=f"host/{self.name}", inc=self.incarnation, token=token)
+        self.sim.tell(self.name, "stopped", unit=f"host/{self.name}", inc=self.incarnation, token=token)
         self.held = True
         self.fall()
 
     def start(self, token: int) -> None:
         if self.held:
-            self.sim.tell(self.name, "starts", unit=f"host/{self.name}", inc=self.incarnation, token=token)
+            self.sim.tell(self.name, "started", unit=f"host/{self.name}", inc=self.incarnation, token=token)
             self.held = False
             self.rise()
 
--- a/ironfall/lab/hosts.py
+++ b/ironfall/lab/hosts.py
@@ -130,13 +130,13 @@
 
     def order_down(self, token: int) -> None:
         """Its agent's act: the work on the host may begin."""
-        self.tell("stops", unit=f"host/{self.name}", inc=self.incarnation, token=token)
+        self.tell("stopped", unit=f"host/{self.name}", inc=self.incarnation, token=token)
         self.held_down = True
         self.die()
 
     def order_up(self, token: int) -> None:
         if self.held_down:
-            self.tell("starts", unit=f"host/{self.name}", inc=self.incarnation, token=token)
+            self.tell("started", unit=f"host/{self.name}", inc=self.incarnation, token=token)
             self.held_down = False
             self.fleet.revive(self)
 
--- a/ironfall/lab/play.py
+++ b/ironfall/lab/play.py
@@ -21,19 +21,22 @@
 import structlog
 from gevent.server import StreamServer
 
+from ironfall.director.member import Way
 from ironfall.durable.disk import Disk, Folder
 from ironfall.files.notation import read_set
 from ironfall.keeper.client import Keepers
 from ironfall.lab.agents import Again, Kept, Ways, watch
 from ironfall.lab.clients import rates
-from ironfall.lab.day import Day, Trouble, beside, load, part_of, seconds_of
+from ironfall.lab.day import KEEPERS, Day, Trouble, beside, load, part_of, seconds_of
 from ironfall.lab.fleet_judge import Fleet as FleetFacts
+from ironfall.lab.fleet_judge import FleetJudge
 from ironfall.lab.hosts import Fleet
 from ironfall.lab.judge import Judge, Verdict
 from ironfall.lab.nodes import Nodes, To
 from ironfall.lab.registry import Registry, kind_of
 from ironfall.lab.tape import SECOND, Tape, read
 from ironfall.lab.wires import Wire
+from ironfall.lab.works import Works
 from ironfall.terms import Terms, read_terms
 
 COMES_UP = 20.0  # seconds that a process of the day may take to be there
@@ -158,7 +161,14 @@
                 shutil.rmtree(store)
         for old in [*folder.glob("*.tape"), *folder.glob("*.log"), *folder.glob("*.turns")]:
             old.unlink()
+        for old in [*folder.glob("disk-*"), folder / "kept"]:
+            shutil.rmtree(old, ignore_errors=True)
         self.tape = Tape(folder / "operators.tape")
+        self.works: Works | None = None
+        known = {name for name, _ in self.terms.fleet.keepers}
+        for t in day.troubles:
+            if t.what in ("work", "halt") and not known or t.words and t.words[0] in set(KEEPERS) - known:
+                raise NotPlayed(f"{day.file}:{t.line}: {t.what} needs keepers that {day.terms} names")
 
     def _start(self, name: str, *words: str) -> None:
         log = open(self.folder / f"{name}.log", "ab")
@@ -196,11 +206,12 @@
         if day.readings and self.terms.metrics.readings:
             self.read_at = dict(zip(self.director_at, [(self.ip, p) for p in free_ports(self.ip, len(day.directors))],
                                     strict=True))  # fmt: skip
+        self._start_keepers()
         read = [w for name, zone in day.directors if name in self.read_at
                 for w in ("--readings", f"{zone},{_text(self.read_at[name])}")]  # fmt: skip
         self._start("hosts", "lab", "hosts", day.file, "--registry", _text(registry), "--control", _text(self.control),
                     "--tape", str(self.folder / "hosts.tape"), "--seed", str(self.seed), "--net", self.net,
-                    *read)  # fmt: skip
+                    *read, *self.beside)  # fmt: skip
         for name, _ in day.directors:
             self._start_director(name)
         self._there("hosts", self.control)
@@ -238,6 +249,35 @@
         (self.folder / "meta.json").write_text(json.dumps(meta))
         return Played(judge(day, self.terms, self.folder, meta), self.folder, events)
 
+    def _start_keepers(self) -> None:
+        """Where the terms name keepers: at free ports of this play, and so by a copy of the terms."""
+        self.beside: list[str] = []
+        keepers = self.terms.fleet.keepers
+        if not keepers:
+            return
+        text = self.terms_file.read_text()
+        for (_, address), port in zip(keepers, free_ports(self.ip, len(keepers)), strict=True):
+            text = text.replace(f'"{_text(address)}"', f'"{self.ip}:{port}"')
+        self.terms_file = self.folder / "fleet.sexp"
+        self.terms_file.write_text(text)
+        self.terms = read_terms(str(self.terms_file), text)
+        self.beside = ["--kept", str(self.folder / "kept"), "--terms", str(self.terms_file)]
+        for name, _ in self.terms.fleet.keepers:
+            self._start_keeper(name)
+        for name, address in self.terms.fleet.keepers:
+            self._there(name, address)
+        fleet, log = self.terms.fleet, structlog.get_logger()
+
+        def way(who: str) -> Way:
+            return Way(Keepers(fleet.keepers, who, self.chance), fleet.lease / SECOND / 4)
+
+        self.works = Works(way, "operators", time.time_ns() // 1_000_000, fleet.lease, self.chance,
+                           self.tape.teller("operators"), log)  # fmt: skip
+
+    def _start_keeper(self, name: str) -> None:
+        self._start(name, "--log", "json", "keeper", str(self.terms_file), "--name", name, "--disk",
+                    str(self.folder / f"disk-{name}"), "--found")  # fmt: skip
+
     def _start_director(self, name: str) -> None:
         zone = dict(self.day.directors)[name]
         self.starts_of[name] += 1
@@ -271,10 +311,12 @@
 
     def _bring(self, trouble: Trouble) -> None:
         what, words, seconds = trouble.what, trouble.words, trouble.seconds
+        names = [host.name for host in self.day.hosts]
         if what == "kill":
             self._signal(words[0], signal.SIGKILL)
             self.running[words[0]].wait()
-            gevent.spawn_later(seconds, self._start_director, words[0])
+            again = self._start_keeper if words[0] in KEEPERS else self._start_director
+            gevent.spawn_later(seconds, again, words[0])
         elif what == "stop":
             self._signal(words[0], signal.SIGSTOP)
             gevent.spawn_later(seconds, self._signal, words[0], signal.SIGCONT)
@@ -283,6 +325,10 @@
                 wire.drop(part_of(words[0]), self.chance)
         elif what in ("adopt", "err", "scribble"):
             self._file(what, words)
+        elif what in ("work", "halt"):
+            assert self.works is not None
+            gevent.spawn(getattr(self.works, what), words[0] if words[0] in ("all", *names) else f"zone {words[0]}",
+                         seconds)  # fmt: skip
         elif what == "late":
             self._command("late", [], seconds_of(words[0]))
             gevent.spawn_later(seconds, self._command, "late", [], 0.0)
@@ -335,6 +381,8 @@
                 raise NotPlayed(f"{name} ended on its own with {process.returncode}; see {self.folder}/{name}.log")
 
     def _end(self) -> None:
+        if self.works:
+            self.works.stop()
         # Directors first: the polls that they let go tell the tape that their proxies were joined until now.
         for names in (set(dict(self.day.directors)), set(self.running)):
             for name in sorted(names & set(self.running)):
@@ -352,8 +400,13 @@
 
 def judge(day: Day, terms: Terms, folder: Path, meta: dict[str, Any]) -> Verdict:
     judging = Judge(day, terms, meta)
-    judging.read(read(*sorted(folder.glob("*.tape"))))
-    return judging.verdict()
+    tapes = sorted(folder.glob("*.tape"))
+    judging.read(read(*tapes))
+    verdict = judging.verdict()
+    if terms.fleet.keepers:
+        rows = list(read(*tapes))
+        verdict.rules |= FleetJudge(fleet_of(day, terms)).read(rows).verdict(rows[-1]["t"])
+    return verdict
 
 
 def judge_folder(folder: Path) -> Verdict:
--- a/ironfall/lab/report.py
+++ b/ironfall/lab/report.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from ironfall.lab.fleet_judge import RULES as FLEET_RULES
 from ironfall.lab.judge import RULES, Verdict
 
 
@@ -43,6 +44,6 @@
     lines.append("")
     for name, rule in verdict.rules.items():
         state = f"BROKEN {len(rule.breaks)} times" if rule.breaks else "kept"
-        lines.append(f"{state:7} {RULES[name]} (at most {min(rule.worst, 99):.0%} of the limit)")
+        lines.append(f"{state:7} {(RULES | FLEET_RULES)[name]} (at most {min(rule.worst, 99):.0%} of the limit)")
         lines += [f"        {text}" for text in rule.breaks[:3]]
     return "\n".join(lines)
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -16,9 +16,9 @@
 from ironfall.director.stands import Stands
 from ironfall.durable.disk import Folder
 from ironfall.lab.agents import Agent, Kept
+from ironfall.lab.day import read_day
 from ironfall.lab.fleet_judge import Fleet, FleetJudge
 from ironfall.lab.fleet_sim import WRONG, Sim, wrong
-from ironfall.lab.day import read_day
 from ironfall.lab.hosts import Fleet as HostFleet
 from ironfall.lab.play import beside_keepers, fleet_of
 from ironfall.lab.registry import Marking, Registry, Telling
@@ -440,7 +440,7 @@
     return t, "up", who, {"inc": 2}
 
 
-WORK = [shown(1, "h0", "draining", 5), act(9, "stops", "h0", 7), down(9.01, "h0"), act(20, "starts", "h0", 9),
+WORK = [shown(1, "h0", "draining", 5), act(9, "stopped", "h0", 7), down(9.01, "h0"), act(20, "started", "h0", 9),
         up(20.1, "h0"), shown(21, "h0", "ready", 9)]  # fmt: skip
 
 
@@ -460,13 +460,13 @@
     ("hand", [*WORK[:2], down(9.01, "h0", 2), *WORK[3:]]),
     ("hand", WORK[1:]),  # while the list calls it ready
     ("token", [*WORK[:-1], shown(21, "h0", "ready", 9), shown(22, "h0", "ready", 8)]),
-    ("token", [*WORK, shown(22, "h0", "draining", 12), act(23, "stops", "h0", 7), act(24, "starts", "h0", 15),
+    ("token", [*WORK, shown(22, "h0", "draining", 12), act(23, "stopped", "h0", 7), act(24, "started", "h0", 15),
                shown(25, "h0", "ready", 15)]),
     ("ends", WORK[:-1]),
     ("ends", WORK[:3]),
-    ("budget", [act(1, "stops", "d1", 3, "director/d1"), down(1.01, "d1"), act(2, "stops", "d2", 4, "director/d2"),
-                down(2.01, "d2"), act(3, "starts", "d1", 5, "director/d1"), up(3, "d1"),
-                act(4, "starts", "d2", 6, "director/d2"), up(4, "d2")]),
+    ("budget", [act(1, "stopped", "d1", 3, "director/d1"), down(1.01, "d1"), act(2, "stopped", "d2", 4, "director/d2"),
+                down(2.01, "d2"), act(3, "started", "d1", 5, "director/d1"), up(3, "d1"),
+                act(4, "started", "d2", 6, "director/d2"), up(4, "d2")]),
 ])  # fmt: skip
 def test_the_judge_finds_each_fault_and_no_other(broken, rows):
     assert judged(*rows) == ({broken} if broken else set())
@@ -476,7 +476,7 @@
 def test_a_small_fleet_under_faults_keeps_the_rules(seed):
     sim = Sim(seed)
     assert not any(rule.breaks for rule in sim.run().values())
-    assert any(row["e"] == "starts" for row in sim.tape), "nothing was worked on"
+    assert any(row["e"] == "started" for row in sim.tape), "nothing was worked on"
 
 
 @pytest.mark.parametrize("name", WRONG)
@@ -581,4 +581,4 @@
             it.stop()
     rules = FleetJudge(fleet_of(it.day, it.terms)).read(read(tmp_path / "all.tape"))
     assert not any(rule.breaks for rule in rules.verdict(0).values())
-    assert [row["e"] for row in read(tmp_path / "all.tape") if row["e"] in ("stops", "starts")] == ["stops", "starts"]
+    assert [row["e"] for row in read(tmp_path / "all.tape") if row["e"] in ("stopped", "started")] == ["stopped", "started"]
