--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -106,6 +106,7 @@
     assert it.look()["drained"] == {}
 
 
+@pytest.mark.parametrize("seed", range(30))
 def test_what_is_confirmed_is_held_by_none(seed):
     """Against the proxies' own holdings: whatever is ordered, told, compacted or joined between two looks."""
     chance, it = random.Random(seed), Director()
@@ -157,6 +158,8 @@
     assert word["binding"] == 2 * 2 + 2 + 0 + 1
     assert (word["refused"], word["fulfilled"]) == (200_000, 740_000)
     assert it.look(now=3 * SECOND)["near"] == 500_000
+    waiting.held = 0
+    assert it.look(now=4 * SECOND)["near"] == 0, "one that does not poll may be gone"
     assert it.look()["fulfilled"] == 1_000_000
     it.out(H0)
     it.out(H1)
@@ -329,14 +332,17 @@
     disk = FakeDisk()
     it = agent_of(disk)
     assert it.ordered(0, "leaving", 20)
-    first = it.word(1)["n"]
+    first = [it.word(n)["n"] for n in range(9)][-1]
     again = agent_of(disk)
     assert not again.ordered(9 * SECOND, "stopped", 12) and again.process.up
     assert again.word(1)["n"] > first, "numbers count up over starts"
-    disk.full_from = 0
+    again.process.busy = 1
+    assert again.ordered(9 * SECOND, "stopped", 20)  # and waits
+    again.process.busy, disk.full_from = 0, 0
     with pytest.raises(OSError):
         again.ordered(9 * SECOND, "stopped", 21)
-    assert again.process.up and again.word(1)["token"] == 0
+    again.act(9 * SECOND)
+    assert again.process.up and again.word(1)["token"] == 0, "neither the newer nor the older"
     disk.full_from = -1
     assert again.ordered(9 * SECOND, "stopped", 21) and not again.process.up
     assert agent_of(disk).fence.tokens == {"host/h0": 21}
@@ -391,6 +397,7 @@
     hosts = {f"h{n}": (f"z{n % 2}", "k", ("t",)) for n in range(4)}
     fleet = Fleet(hosts, {"d1": "z0", "d2": "z1"}, (*budgets, ("directors", 1, 1_000_000)), 8 * SECOND, 0,
                   2 * SECOND, 3 * SECOND, 60 * SECOND)  # fmt: skip
+    rows = sorted(rows, key=lambda row: row[0])
     tape = [{"t": int(t * SECOND), "e": what, "who": who, **about} for t, what, who, about in rows]
     rules = FleetJudge(fleet).read(tape).verdict(100 * SECOND)
     return {name for name, rule in rules.items() if rule.breaks}
