--- a/ironfall/agreement/member.py
+++ b/ironfall/agreement/member.py
@@ -530,7 +530,7 @@
     def _took(self, fits: bool, index: int) -> None:
         if fits:
             index = min(index, self._own())
-        durable = self.writes.durable if self.writes.reign == self.reign else -1
+        durable = self.writes.told if self.writes.reign == self.reign else -1
         self.way.took(self.leader, self.boots, self.reign, self.beats, fits, index, durable)
 
     def part_offered(self, sender: str, boots: int, reign: int, beat: int, index: int, start: int, size: int,
@@ -610,7 +610,7 @@
         self.configs += configs
         self.snapshot = snapshot
         if not keeps:
-            self.writes.cut(0)
+            self.writes.replaced()
         self.matched = max(self.matched, index)
         self._keep_snapshot()
 
--- a/ironfall/agreement/writes.py
+++ b/ironfall/agreement/writes.py
@@ -16,6 +16,7 @@
         self.number = 0
         self.waiting: deque[Write] = deque()
         self.durable, self.reign = durable, -1  # what is known to be on the disk: the last entry, the reign
+        self.former = 0  # the same of the log that a snapshot takes the place of
 
     def __len__(self) -> int:
         return len(self.waiting)
@@ -35,6 +36,16 @@
         self.durable = min(self.durable, last)
         self.waiting = deque(w._replace(last=min(w.last, last)) for w in self.waiting)
 
+    def replaced(self) -> None:
+        """By a snapshot, under way to the disk; until it is there, what was is."""
+        self.former = self.told
+        self.cut(0)
+
+    @property
+    def told(self) -> int:
+        """The last entry that the disk is known to hold, of this log or the one before the snapshot."""
+        return self.durable or self.former
+
     def done(self, number: int) -> bool:
         return not self.waiting or self.waiting[0].number > number
 
--- a/ironfall/keeper/disk.py
+++ b/ironfall/keeper/disk.py
@@ -187,6 +187,7 @@
         self.store, self.pool, self.kept, self.failed = store, pool, kept, failed
         self.queue: deque[tuple[int, Write]] = deque()  # bounded by the member, which takes no more at its bound
         self.more = Event()
+        self.stopped = False
         self.loop = spawn(self._run)
 
     def put(self, number: int, write: Write) -> None:
@@ -195,6 +196,7 @@
 
     def stop(self) -> None:
         """What is under way may still come to be; the pool's one thread is done with it before anything else."""
+        self.stopped = True
         self.loop.kill(block=False)
 
     def _run(self) -> None:
@@ -209,7 +211,12 @@
                     size += sum(e.size for e in one.entries) if not isinstance(one, Keep) else 0
                 try:
                     self.pool.apply(self.store.write, (writes,))
+                    why = ""
                 except (OSError, ValueError) as cause:  # ValueError: over the bound of a record
-                    self.failed(str(cause))
+                    why = str(cause) or repr(cause)
+                if self.stopped:
+                    return  # just before its end was to be told: the next beginning has numbers of its own
+                if why:
+                    self.failed(why)
                     return
                 self.kept(number)
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -220,6 +220,19 @@
     assert member.stale and way.all("forsake")
 
 
+def test_one_that_is_sent_a_snapshot_still_holds_what_it_answered_for():
+    way, found = Quiet(), Found(1 << 20, 1, "", entries=[Entry(1, "ask")] * 5, first=Members(("k0/a", "k1/a")))
+    sim = type("Applied", (), {"applied": lambda *_: None, "order": []})()
+    member = Member("k0/a", Bounds(), random.Random(1), way, List(sim, "k0"), found)
+    member.kept(member.writes.number)
+    snapshot = b'[50, 1, [["k0/a", "k1/a"], []], []]\n[]'
+    member.part_offered("k1/a", 1 << 20, 1, 1, 50, 0, len(snapshot), snapshot)
+    member.offered("k1/a", 1 << 20, 1, 2, 50, 1, (), 50)
+    member.kept(member.writes.number)
+    told = [(index, durable) for _, _, _, _, fits, index, durable in way.all("took") if fits]
+    assert told == [(0, 5), (50, 50)]
+
+
 def test_who_hears_a_leader_gives_no_vote_and_takes_up_no_reign():
     member, way = alone(voters=("k0/a", "k1/a", "k2/a"))
     member.offered("k1/a", 1 << 20, 1, 1, 0, 0, (), 0)
