--- a/ironfall/cli/fleet.py
+++ b/ironfall/cli/fleet.py
@@ -76,6 +76,15 @@
         sys.exit(1 if heard.why in ("refused", "forgotten") else 3)
 
 
+def _halting(file: Path, scope: str) -> str:
+    """A zone misspelt would be halted nowhere, while whoever said it goes by it."""
+    kind, _, name = scope.partition(" ")
+    zones = terms_from(file).zones
+    if kind == "zone" and name not in zones:
+        raise click.BadParameter(f"no zone {name!r} in these terms; they name: {', '.join(zones)}", param_hint="SCOPE")
+    return scope
+
+
 def _put(file: Path, entry: dict[str, Any]) -> Any:
     heard = _keepers(file).ask(entry, WAIT)
     _ended(heard)
@@ -159,7 +168,7 @@
     Example:
       ironfall fleet halt deploy/terms/fleet.sexp "zone east" --reason "power work"
     """
-    told = _put(file, {"k": "halt", "scope": scope, "by": by, "reason": reason})
+    told = _put(file, {"k": "halt", "scope": _halting(file, scope), "by": by, "reason": reason})
     click.echo(f"entry {told['index']}: {scope} is halted, for who is cut off within a lease")
 
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -461,3 +461,12 @@
     bound = max(fleet.bound_after[proxy] for proxy in range(staying, staying + moving))
     assert max(bound, late) <= expected + fleet_model.TICK
     assert drains or bound >= expected - 2 * fleet_model.TICK  # not by far too careful
+
+
+def test_a_halt_of_a_zone_that_is_none_is_refused_before_anybody_is_asked():
+    from click.testing import CliRunner
+
+    from ironfall.cli import main
+
+    said = CliRunner().invoke(main, ["fleet", "halt", "deploy/terms/fleet.sexp", "zone esat", "--reason", "power"])
+    assert said.exit_code == 2 and "no zone 'esat' in these terms; they name: east, west" in said.output
