--- a/tests/keepers.py
+++ b/tests/keepers.py
@@ -3,6 +3,7 @@
 import json
 import os
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -38,11 +39,9 @@
 
 def terms_with(count):
     """The example's text, with as many keepers at free ports."""
-    text, ports = TERMS.read_text(), free_ports(count)
-    for n in (1, 2, 3):
-        line = f'(keeper "k{n}" "127.0.0.1:781{n}")'
-        text = text.replace(line, line.replace(f"781{n}", str(ports[n - 1])) if n <= count else "")
-    return text
+    keepers = " ".join(f'(keeper "k{n}" "127.0.0.1:{port}")' for n, port in enumerate(free_ports(count), 1))
+    before, *_, after = re.split(r'\(keeper "k\d" "[\d.:]+"\)', TERMS.read_text())
+    return before + keepers + after
 
 
 class Group:
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -5,6 +5,8 @@
 import os
 import random
 import shutil
+import subprocess
+import sys
 import time
 from dataclasses import replace
 from datetime import datetime
@@ -371,6 +373,11 @@
         Store(disk, "k2").open()
 
 
+def test_the_clients_end_loads_neither_agreement_nor_ledger():
+    code = "import sys, ironfall.keeper.client; print([m for m in sys.modules if 'agreement' in m or 'permits' in m])"
+    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout == "[]\n"
+
+
 def test_an_ask_keeps_its_number_until_it_is_known_what_came_of_it():
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
     script, came, now = [], [], [0.0]
