Let the heir of a reign ask for votes when the others know too

One that had not yet heard that the leader goes gave no vote, and the hand-over waited for an election time. The test goes by what is said, no longer by a time.

--- a/ironfall/keeper/keeper.py
+++ b/ironfall/keeper/keeper.py
@@ -71,8 +71,10 @@
         if (sender, reign) == (self.leader, self.reign) and self.role == FOLLOWER:
             self.leader = ""
             if heir == self.me:
-                self.due = self.way.now()
-                self.woken()
+                self.way.say(f"{self.me} is handed what {sender} led")
+                # A while later, when the others know too: who still hears a leader gives no vote.
+                self.due = self.way.now() + self.bounds.beat // 4
+                self.way.wake(self.bounds.beat // 4)
 
 
 class Keeper:
