--- a/ironfall/keeper/client.py
+++ b/ironfall/keeper/client.py
@@ -14,6 +14,7 @@
 from gevent.lock import BoundedSemaphore
 
 from ironfall.api.http import Answer, HttpClient
+from ironfall.keeper.sums import NAME, asked, whole
 
 CONNECT = 0.3  # seconds
 # One try's first and longest patience: a keeper that was stopped takes connections and answers none, while another has
@@ -21,6 +22,7 @@
 SOON, LATE = 1.0, 6.0
 FIRST, MOST = 0.05, 1.0  # seconds between tries, before jitter
 ANSWER_MOST = 1 << 26
+UNSUMMED = (408, 413, 429, 431, 503)  # by the HTTP end, before a keeper saw what was asked
 
 
 @dataclass(frozen=True)
@@ -123,7 +125,7 @@
             return None
 
         heard, cut = self._round(self.asks, until, "POST", "/v1/fleet/entries", body, judge)
-        if heard.why in ("silent", "full") and (doubt or cut):
+        if heard.why in ("silent", "full", "refused") and (doubt or cut):
             return Heard("doubt", heard.told, heard.text)
         return heard
 
@@ -168,7 +170,10 @@
     def _try(self, lines: _Lines, name: str, method: str, path: str, body: bytes, seconds: float
              ) -> tuple[Answer | None, Heard]:  # fmt: skip
         try:
-            answer = lines.to(name, self.keepers[name]).call(method, path, seconds, body)
+            told_to = asked(path, body) if body else path
+            answer = lines.to(name, self.keepers[name]).call(method, told_to, seconds, body)
+            if not whole(answer) and (NAME in answer.headers or answer.status not in UNSUMMED):
+                raise ConnectionAbortedError("its answer was spoilt on its way")
         except OSError as cause:
             self._count("failures")
             # A connection that was never made carried nothing.
--- a/ironfall/keeper/peers.py
+++ b/ironfall/keeper/peers.py
@@ -15,6 +15,7 @@
 
 from ironfall.agreement import Entry
 from ironfall.api.http import HttpClient
+from ironfall.keeper.sums import asked
 
 WAITING = 128  # messages to a peer
 BYTES = 8 * 2**20  # of what they carry
@@ -66,7 +67,8 @@
                     messages.append(message)
                     size, self.size = size + more, self.size - more
                 try:
-                    answer = self.client.call("POST", PATH, ANSWER, json.dumps(messages, ensure_ascii=False).encode())
+                    body = json.dumps(messages, ensure_ascii=False).encode()
+                    answer = self.client.call("POST", asked(PATH, body), ANSWER, body)
                     failed = answer.status != 204
                 except OSError:
                     failed = True
--- a/ironfall/keeper/program.py
+++ b/ironfall/keeper/program.py
@@ -19,6 +19,7 @@
 from ironfall.durable.disk import Disk
 from ironfall.keeper.keeper import BOUNDS, LOOKS, Keeper
 from ironfall.keeper.server import MARKS_TIME, Api
+from ironfall.keeper.sums import whole
 from ironfall.terms import Terms
 
 SECOND = 10_000
@@ -118,7 +119,7 @@
 def _who(client: HttpClient) -> Any:
     try:
         answer = client.call("GET", "/v1/peer/who", 0.5)
-        who = json.loads(answer.body)
+        who = json.loads(answer.body) if whole(answer) else {"first": [None]}
         return who if isinstance(who["first"][0], list) and {"blank", "identity"} <= set(who) else None
     except (OSError, ValueError, KeyError, TypeError, IndexError):
         return None
--- a/ironfall/keeper/server.py
+++ b/ironfall/keeper/server.py
@@ -11,6 +11,7 @@
 from ironfall.api.http import Answer, HttpClient, Refused, Request
 from ironfall.keeper.keeper import Keeper
 from ironfall.keeper.machine import FORGOTTEN, FULL
+from ironfall.keeper.sums import SUM, answered, asked, whole
 
 ASK_TIME = 5.0  # seconds until an ask is answered with doubt
 LOOK_TIME = 3.0
@@ -23,8 +24,12 @@
 
 
 def _answer(status: int, told: Any, retry: bool = False) -> Answer:
-    headers = {"Content-Type": "application/json"} | ({"Retry-After": "1"} if retry else {})
-    return Answer(status, json.dumps(told, separators=(",", ":")).encode() + b"\n", headers)
+    headers = {"Retry-After": "1"} if retry else {}
+    return _sealed(status, json.dumps(told, separators=(",", ":")).encode() + b"\n", headers)
+
+
+def _sealed(status: int, body: bytes, headers: dict[str, str]) -> Answer:
+    return Answer(status, body, {"Content-Type": "application/json", SUM: answered(status, body), **headers})
 
 
 class Api:
@@ -43,12 +48,20 @@
         }
 
     def handle(self, request: Request) -> Answer:
+        try:
+            return self._handle(request)
+        except Refused as refused:
+            return _answer(refused.status, {"why": refused.reason}, bool(refused.retry_after))
+
+    def _handle(self, request: Request) -> Answer:
         route = self.routes.get((request.method, request.path))
         if route is None:
             known = request.path in (path for _, path in self.routes)
             raise Refused(405 if known else 404, f"no {request.method} {request.path} here")
         if self.keeper.ending and not request.path.startswith("/v1/peer/"):
             return _answer(503, {"why": "this keeper is stopping; turn to another"}, True)
+        if "sum" in request.query and asked(request.path, request.body) != f"{request.path}?sum={request.query['sum']}":
+            raise Refused(408, "it was spoilt on its way: say it again")
         return route(request)
 
     def _body(self, request: Request) -> Any:
@@ -60,6 +73,8 @@
     # peers
 
     def _said(self, request: Request) -> Answer:
+        if "sum" not in request.query:
+            raise Refused(400, "what a keeper says has its sum with it")
         try:
             self.keeper.said(self._body(request))
         except (ValueError, TypeError, KeyError, AttributeError) as wrong:
@@ -113,7 +128,7 @@
         if answer == FULL:
             return self._outcome(Outcome.FULL, b"")
         index, _, said = answer.partition(b"\n")
-        return Answer(200, b'{"index":%s,"answer":%s}\n' % (index, said), {"Content-Type": "application/json"})
+        return _sealed(200, b'{"index":%s,"answer":%s}\n' % (index, said), {})
 
     def _seen(self) -> dict[str, Any]:
         member, ledger = self.keeper.member, self.keeper.machine.ledger
@@ -174,7 +189,8 @@
         if member is None or member.role != "leader":
             return self._away(member.leader if member else "")
         try:
-            who = json.loads(HttpClient(keeper.group[name]).call("GET", "/v1/peer/who", 2.0).body)["identity"]
+            answer = HttpClient(keeper.group[name]).call("GET", "/v1/peer/who", 2.0)
+            who = json.loads(answer.body)["identity"] if whole(answer) else ""
         except (OSError, ValueError, KeyError, TypeError) as wrong:
             return _answer(503, {"why": f"{name} does not say who it is: {wrong}"}, True)
         if not isinstance(who, str) or who.partition("/")[0] != name:
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -23,6 +23,7 @@
 from ironfall.keeper.keeper import BOUNDS
 from ironfall.keeper.machine import FORGOTTEN, FULL, Machine
 from ironfall.keeper.program import Program
+from ironfall.keeper.sums import SUM, answered
 from ironfall.terms import read_terms
 from tests.disks import Died, Disk
 from tests.keepers import Group, terms_with, until
@@ -382,7 +383,8 @@
             request.sock.close()
         if not script:
             now[0] += 10.0  # its time is up
-        return Answer(status, json.dumps(told).encode())
+        body = json.dumps(told).encode()
+        return Answer(status, body, {SUM: answered(status, body)})
 
     servers = [HttpServer(("127.0.0.1", 0), Bounds(9, 4096, 2, 60, 2), handle) for _ in range(2)]
     for server in servers:
