--- a/ironfall/lab/permits_judge.py
+++ b/ironfall/lab/permits_judge.py
@@ -102,7 +102,7 @@
 
     def _list(self, entry: dict[str, Any], answer: Any) -> None:
         for name, said in entry.get("hosts", {}).items():
-            self.hosts[name] = dict(said)
+            self.hosts[name] = {"tenants": [], "token": 0, "started": 0, **said}
         for name in entry.get("gone", ()):
             self.hosts[name]["ready"] = False
 
