--- a/ironfall/lab/between.py
+++ b/ironfall/lab/between.py
@@ -33,6 +33,7 @@
 
     what: str
     sender: str
+    to: str
     about: list[Any]
     entries: tuple[tuple[int, str, dict[str, Any]], ...] = ()
 
@@ -79,9 +80,10 @@
     entries = []
     if one["what"] == "offered":
         for place, (_, kind, _, _, data) in enumerate(one["about"][5], one["about"][3] + 1):
-            own = json.loads(data.partition("\n")[2]) if kind == "ask" else {}
-            entries.append((place, kind, own))
-    return Said(one["what"], one["from"], one["about"], tuple(entries))
+            own = {"ask": data.partition("\n")[2], "members": data}.get(kind)
+            held = json.loads(own) if own else {}
+            entries.append((place, kind, held if isinstance(held, dict) else {"members": held}))
+    return Said(one["what"], one["from"], one["to"], one["about"], tuple(entries))
 
 
 Match = Callable[[Message], bool]
--- a/tests/keepers.py
+++ b/tests/keepers.py
@@ -50,6 +50,7 @@
 class Group:
     def __init__(self, folder, count=3, **lines):
         """`lines` of the terms' fleet, in place of what the example has."""
+        folder.mkdir(exist_ok=True)
         self.folder, self.file = folder, folder / "fleet.sexp"
         text = terms_with(count)
         for line, value in lines.items():
