--- a/ironfall/lab/works.py
+++ b/ironfall/lab/works.py
@@ -49,11 +49,11 @@
         self.asked += 1
         ask = {"k": "ask", **mine, "n": self.asked, "units": [unit], "length": round(seconds * SECOND)}
         answer = way.ask(ask)
-        while "ok" not in answer and "no live lease" in answer["no"]:
-            gevent.sleep(0.5)  # its own has not come yet
+        while "ok" not in answer:
+            if answer["no"].startswith("never"):
+                raise Unheard(answer["no"])
+            gevent.sleep(0.5)  # its lease, the rules or the list may not have come yet, or others ask for it
             answer = way.ask(ask)
-        if "ok" not in answer:
-            raise Unheard(answer["no"])
         while True:
             gevent.sleep(0.5)
             state, token = self._stands(way, unit)
