--- a/ironfall/lab/between.py
+++ b/ironfall/lab/between.py
@@ -170,14 +170,19 @@
         self.steps.append(_Step(match, fate, nth, times, act, Event()))
         return self.steps[-1].done
 
-    def some(self, match: Match, fate: Fate, part: float) -> None:
-        """Drawn for each message that matches, until `mend`."""
-        self.often.append(_Often(match, fate, part))
+    def some(self, match: Match, fate: Fate, part: float) -> Callable[[], None]:
+        """Drawn for each message that matches, until `mend` or what comes back is called."""
+        one = _Often(match, fate, part)
+        self.often.append(one)
+        return lambda: self.often.remove(one) if one in self.often else None
 
     def cut(self, source: str, sink: str) -> None:
         """What `source` sends to `sink` vanishes, questions and answers, until `mend`; the other way goes on."""
         self.cuts.add((source, sink))
 
+    def join(self, source: str, sink: str) -> None:
+        self.cuts.discard((source, sink))
+
     def mend(self) -> None:
         """Steps that are still to come stay."""
         self.cuts.clear()
@@ -330,6 +335,10 @@
             self.relays[source, sink] = Relay(source, sink, to, self.faults, self.flows)
         return self.relays[source, sink].address
 
+    def others(self, name: str) -> set[str]:
+        """All that speak to it or that it speaks to."""
+        return {one for pair in self.relays if name in pair for one in pair} - {name}
+
     def copy(self, text: str, who: str, keepers: Sequence[tuple[str, tuple[str, int]]]) -> str:
         """The terms as `who` gets them: its own address in them, and relays to all others."""
         for name, (host, port) in keepers:
--- a/ironfall/lab/play.py
+++ b/ironfall/lab/play.py
@@ -26,6 +26,7 @@
 from ironfall.files.notation import read_set
 from ironfall.keeper.client import Keepers
 from ironfall.lab.agents import Again, Kept, Ways, watch
+from ironfall.lab.between import SPOILT, TORN, TWICE, Between, Faults
 from ironfall.lab.clients import rates
 from ironfall.lab.day import KEEPERS, Day, Trouble, beside, load, part_of, seconds_of
 from ironfall.lab.fleet_judge import Fleet as FleetFacts
@@ -41,6 +42,7 @@
 
 COMES_UP = 20.0  # seconds that a process of the day may take to be there
 LAG_MOST = 0.25  # seconds: a day whose clients were later than that says more of this machine than of a director
+BETWEEN = {"spoil": SPOILT, "twice": TWICE, "torn": TORN}  # what becomes of a part of what keepers say and are told
 
 
 class NotPlayed(Exception):
@@ -151,6 +153,7 @@
         self.chance = random.Random(seed)
         self.running: dict[str, subprocess.Popen[bytes]] = {}
         self.wires: list[Wire] = []
+        self.between = Between(Faults(random.Random(seed)))
         self.starts_of = Counter[str]()  # of each director
         self.net = f"127.{1 + os.getpid() % 254}"
         self.ip = f"{self.net}.0.1"
@@ -169,7 +172,8 @@
         self.works: Works | None = None
         known = {name for name, _ in self.terms.fleet.keepers}
         for t in day.troubles:
-            if t.what in ("work", "halt") and not known or t.words and t.words[0] in set(KEEPERS) - known:
+            needs = t.what in ("work", "halt", "deaf", "mute", *BETWEEN)
+            if needs and not known or t.words and t.words[0] in set(KEEPERS) - known:
                 raise NotPlayed(f"{day.file}:{t.line}: {t.what} needs keepers that {day.terms} names")
 
     def _start(self, name: str, *words: str) -> None:
@@ -263,21 +267,31 @@
         self.terms_file = self.folder / "fleet.sexp"
         self.terms_file.write_text(text)
         self.terms = read_terms(str(self.terms_file), text)
-        self.beside = ["--kept", str(self.folder / "kept"), "--terms", str(self.terms_file)]
+        self.beside = ["--kept", str(self.folder / "kept"), "--terms", self._own_terms("hosts")]
         for name, _ in self.terms.fleet.keepers:
             self._start_keeper(name)
         for name, address in self.terms.fleet.keepers:
             self._there(name, address)
         fleet, log = self.terms.fleet, structlog.get_logger()
 
+        own = [(name, self.between.way("operators", name, address)) for name, address in fleet.keepers]
+
         def way(who: str) -> Way:
-            return Way(Keepers(fleet.keepers, who, self.chance), fleet.lease / SECOND / 4)
+            return Way(Keepers(own, who, self.chance), fleet.lease / SECOND / 4)
 
         self.works = Works(way, "operators", time.time_ns() // 1_000_000, fleet.lease, self.chance,
                            self.tape.teller("operators"), log)  # fmt: skip
 
+    def _own_terms(self, name: str) -> str:
+        """A file of its own where there are keepers: with relays in it to all that it may speak to of them."""
+        if not self.terms.fleet.keepers:
+            return str(self.terms_file)
+        own = self.folder / f"fleet-{name}.sexp"
+        own.write_text(self.between.copy(self.terms_file.read_text(), name, self.terms.fleet.keepers))
+        return str(own)
+
     def _start_keeper(self, name: str) -> None:
-        self._start(name, "--log", "json", "keeper", str(self.terms_file), "--name", name, "--disk",
+        self._start(name, "--log", "json", "keeper", self._own_terms(name), "--name", name, "--disk",
                     str(self.folder / f"disk-{name}"), "--found")  # fmt: skip
 
     def _start_director(self, name: str) -> None:
@@ -288,7 +302,7 @@
         read = ["--readings", _text(self.read_at[name])] if name in self.read_at else []
         if self.filed:
             read += ["--files", str(self.filed), "--store", str(self.folder / f"store-{name}")]
-        self._start(name, "--log", "json", "lab", "director", str(self.terms_file), "--as", self.director, "--listen",
+        self._start(name, "--log", "json", "lab", "director", self._own_terms(name), "--as", self.director, "--listen",
                     _text(self.director_at[name]), "--registry", _text(self.registry), "--name", name, "--zone", zone,
                     "--seed", str(seed), "--record", str(self.folder / f"{name}-{count}.turns"), *read)  # fmt: skip
 
@@ -325,6 +339,14 @@
         elif what == "break":
             for wire in self.wires:
                 wire.drop(part_of(words[0]), self.chance)
+        elif what in ("deaf", "mute"):
+            ends = [(other, words[0]) for other in self.between.others(words[0])]
+            for source, sink in ends if what == "deaf" else [end[::-1] for end in ends]:
+                self.between.faults.cut(source, sink)
+                gevent.spawn_later(seconds, self.between.faults.join, source, sink)
+        elif what in BETWEEN:
+            ended = self.between.faults.some(lambda _: True, BETWEEN[what], part_of(words[0]))
+            gevent.spawn_later(seconds, ended)
         elif what in ("adopt", "err", "scribble"):
             self._file(what, words)
         elif what in ("work", "halt"):
@@ -385,6 +407,7 @@
     def _end(self) -> None:
         if self.works:
             self.works.stop()
+        self.between.faults.mend()
         # Directors first: the polls that they let go tell the tape that their proxies were joined until now.
         for names in (set(dict(self.day.directors)), set(self.running)):
             for name in sorted(names & set(self.running)):
@@ -398,6 +421,7 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
+        self.between.stop()
 
 
 def judge(day: Day, terms: Terms, folder: Path, meta: dict[str, Any]) -> Verdict:
