--- a/ironfall/lab/transcript.py
+++ b/ironfall/lab/transcript.py
@@ -12,8 +12,10 @@
 
 import json
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from datetime import datetime
+from pathlib import Path
 from typing import Any
 
 from ironfall.lab.between import Fate, Message, Said
@@ -84,6 +86,27 @@
         return self.text(self.name(value)) if isinstance(value, str) else value
 
 
+class Logs:
+    """Keepers' own, as JSON lines in a file for each."""
+
+    def __init__(self, files: Mapping[str, Path]) -> None:
+        self.files, self.read = files, dict.fromkeys(files, 0)
+
+    def all(self, name: str) -> list[dict[str, Any]]:
+        return [json.loads(line) for line in self.files[name].read_text().splitlines()]
+
+    def begin(self) -> None:
+        """What was said until now is not of the exchange."""
+        self.read = {name: len(self.all(name)) for name in self.files}
+
+    def since(self) -> dict[str, list[dict[str, Any]]]:
+        return {name: self.all(name)[self.read[name] :] for name in self.files}
+
+    def last(self, name: str, event: str) -> float:
+        """When it said so last, in seconds since 1970."""
+        return max(datetime.fromisoformat(e["timestamp"]).timestamp() for e in self.all(name) if e["event"] == event)
+
+
 class Transcript:
     def __init__(self) -> None:
         self.parts: list[str] = []
@@ -185,8 +208,9 @@
 
     # as text
 
-    def text(self, keepers: Mapping[str, str], logs: Mapping[str, list[dict[str, Any]]]) -> str:
-        """`keepers`: what each is called here. `logs`: what each of them logged meanwhile."""
+    def text(self, order: Sequence[str], logs: Mapping[str, list[dict[str, Any]]]) -> str:
+        """`order`: who is called A, B and so on. `logs`: what each of them logged meanwhile."""
+        keepers = {name: chr(ord("A") + n) for n, name in enumerate(order)}
         names = {index: f"e{n}" for n, index in enumerate(sorted(self.entries), 1)}
         scrub = Scrubber(keepers, names, list(self.led))
         for identity in self.order:
