--- a/tests/test_between.py
+++ b/tests/test_between.py
@@ -2,12 +2,15 @@
 
 import random
 
+import gevent
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ironfall.api.http import Answer, Bounds, HttpClient, HttpServer
 from ironfall.lab import history
-from ironfall.lab.between import PASSES, TWICE, VANISHES, Faults, Message, between, messages
+from ironfall.lab.between import PASSES, TWICE, VANISHES, Between, Faults, Message, between, messages
+from tests.keepers import until
 
 BODIES = st.lists(st.binary(max_size=300), min_size=1, max_size=5)
 
@@ -46,6 +49,21 @@
     assert faults.spoil(b"abc" * 9, 3) != b"abc" * 9
 
 
+def test_what_stands_still_goes_on_whole():
+    server = HttpServer(("127.0.0.1", 0), Bounds(9, 4096, 2, 60, 2), lambda request: Answer(204))
+    server.start()
+    relays = Between(Faults(random.Random(1)))
+    client = HttpClient(relays.way("a", "b", ("127.0.0.1", server.port)))
+    relays.still()
+    asked = gevent.spawn(client.call, "GET", "/", 10.0)
+    until(lambda: relays.faults.counts[PASSES])
+    assert not asked.ready()
+    relays.still(False)
+    assert asked.get(timeout=10.0).status == 204
+    relays.stop()
+    server.stop()
+
+
 def test_what_was_told_and_is_not_there_is_found():
     entry = {"k": "tick", "at": 7}
     one = history.Applied(3, "me", 1, entry, {"ok": True})
