--- a/tests/keepers.py
+++ b/tests/keepers.py
@@ -1,6 +1,5 @@
 """Keepers as processes of the program, on loopback, with their disks in a folder of the test's."""
 
-import json
 import os
 import random
 import re
@@ -13,6 +12,8 @@
 import gevent
 
 from ironfall.keeper.client import Keepers
+from ironfall.lab.relayed import Relayed
+from ironfall.lab.transcript import Logs
 from ironfall.terms import read_terms
 
 ROOT = Path(__file__).parent.parent
@@ -45,11 +46,18 @@
 
 
 class Group:
-    def __init__(self, folder, count=3):
+    def __init__(self, folder, count=3, **lines):
+        """`lines` of the terms' fleet, in place of what the example has."""
+        folder.mkdir(exist_ok=True)
         self.folder, self.file = folder, folder / "fleet.sexp"
-        self.file.write_text(terms_with(count))
+        text = terms_with(count)
+        for line, value in lines.items():
+            text = text.replace("(lease 10s)", "") if line == "lease" else text
+            text = text.replace("(margin", f"({line} {value})\n    (margin")
+        self.file.write_text(text)
         self.keepers = read_terms(str(self.file), self.file.read_text()).fleet.keepers
         self.names = [name for name, _ in self.keepers]
+        self.logs = Logs({name: folder / f"{name}.log" for name in self.names})
         self.processes, self.askers = {}, []
         self.looker = self.asker("looker")
 
@@ -67,11 +75,14 @@
             one.close()
 
     def start(self, name, *options):
-        command = [sys.executable, "-m", "ironfall", "--log", "json", "keeper", str(self.file), "--name", name,
-                   "--disk", str(self.disk(name)), *options]  # fmt: skip
+        command = [sys.executable, "-m", "ironfall", "--log", "json", "keeper", str(self.terms_of(name)),
+                   "--name", name, "--disk", str(self.disk(name)), *options]  # fmt: skip
         with open(self.folder / f"{name}.log", "a") as log:
             self.processes[name] = subprocess.Popen(command, stderr=log, cwd=ROOT)
 
+    def terms_of(self, _name):
+        return self.file
+
     def disk(self, name):
         return self.folder / name
 
@@ -84,8 +95,7 @@
 
     def told(self, name, event):
         """What its log says of an event, over all of its lives."""
-        lines = map(json.loads, (self.folder / f"{name}.log").read_text().splitlines())
-        return [line for line in lines if line["event"] == event]
+        return [line for line in self.logs.all(name) if line["event"] == event]
 
     def asker(self, name):
         self.askers.append(Keepers(self.keepers, name, random.Random(1)))
@@ -104,3 +114,27 @@
 
     def voters(self):
         return self.looker.look().told["members"][0]
+
+
+class Faulted(Group):
+    """A relay between any two: keepers, and whoever asks them."""
+
+    def __init__(self, folder, count=3, seed=1, tell=lambda message, fate: None, **lines):
+        self.relayed = Relayed(folder, seed, tell)
+        self.faults = self.relayed.faults
+        super().__init__(folder, count, **lines)
+
+    def __exit__(self, *about):
+        super().__exit__(*about)
+        self.relayed.stop()
+
+    def terms_of(self, name):
+        return self.relayed.copy(name, self.file.read_text(), self.keepers)
+
+    def client(self, name, first=""):
+        return self.relayed.client(name, self.keepers, first)
+
+    def granted(self, *but):
+        for name in self.names:
+            self.kill(name)
+        return self.relayed.granted([name for name in self.names if name not in but])
