--- /dev/null
+++ b/ironfall/lab/releases_sim.py
@@ -0,0 +1,404 @@
+"""Seeded releases at a fleet of directors with the real ledger, and a judge that knows the truth.
+
+Directors have bents of their own, noise that lasts a few seconds, a daily swing and shocks by zone; proxies move when
+one stops and drift back. Words are lost or late; directors and a zone die by themselves; the holder dies at any call.
+
+    python -m ironfall.lab.releases_sim [SEEDS [FIRST [DIRECTORS]]]
+"""
+
+import json
+import math
+import random
+import statistics
+import sys
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from ironfall.permits import Fence, Ledger, Rules
+from ironfall.permits.room import channel_time
+from ironfall.permits.terms import MILLION
+from ironfall.releases import Order, Release, view_of
+
+SECOND = 10_000
+HARMS = ("refuses", "bare", "crashes", "waits", "never", "older", "twice", "dies")
+LEASE, RAMP = 10, 20.0
+
+
+class Broken(Exception):
+    """What does not hold, by name."""
+
+
+class Died(Exception):
+    """The holder, in the middle of a call."""
+
+
+@dataclass
+class SimDirector:
+    zone: str
+    bent: tuple[float, float, float, float]
+    leave_time: int
+    start_time: int
+    weight: float
+    version: str = "1"
+    ordered: str = "1"
+    inc: int = 1
+    n: int = 0
+    alive: bool = True
+    up_at: int = 0  # when the process answers; it runs before that
+    running: bool = True
+    zombie: bool = False  # a second process of the name lives on
+    proxies: float = 0.0
+    leaving: bool = False
+    left_at: int = 0
+    acted: int = 0
+    noise: list[float] = field(default_factory=lambda: [0.0] * 4)
+    back_at: int = 0  # of what died by itself
+    fence: Fence = field(default_factory=Fence)
+    renewed: int = 0
+
+
+class Sim:
+    """One release. `harm`: one of `HARMS`, `unused`, or nothing."""
+
+    def __init__(self, seed: int, harm: str = "", directors: int = 230, zones: int = 8, make: type[Release] = Release,
+                 faults: bool = True, order: Order | None = None, losses: float = 0.3) -> None:  # fmt: skip
+        self.chance, self.kind, self.faults, self.make = random.Random(seed), harm, faults, make
+        self.ledger, self.index, self.now, self.start = Ledger(), 0, 36_000, 36_000  # seconds
+        self.losses, self.order, self.inc, self.asked = losses, order or Order("r2", "1", "2"), 0, 0
+        pick = self.chance
+        self.phase = pick.random() * 86_400
+        self.directors = {
+            f"d{n}": SimDirector(f"z{n % zones}", (pick.gauss(0, 0.002), pick.gauss(0, 0.001), abs(pick.gauss(0, 0.01)),
+                                 pick.gauss(0, 0.02)), pick.randint(3, 8), pick.randint(8, 25), pick.uniform(0.7, 1.4))
+            for n in range(directors)
+        }  # fmt: skip
+        self.proxies = 10 * directors
+        for one in self.directors.values():
+            one.proxies = 10 * one.weight
+        share = 200_000 if directors // zones >= 5 else 1_000_000
+        whole = max(100_000, MILLION // directors + 1)
+        self.rules = Rules(budgets=(("fleet", 1 << 30, MILLION), ("directors", 1 << 30, whole),
+                                    ("directors-zone", 1 << 30, share)), lease=LEASE * SECOND, unplanned=500_000,
+                           back=600 * SECOND)  # fmt: skip
+        self.put("rules", rules=self.rules.facts())
+        for name, one in self.directors.items():
+            self.put("join", director=name, inc=1, zone=one.zone, version="1")
+        self.notes: list[tuple[int, str, dict[str, object]]] = []
+        self.out_planned: dict[str, int] = {}  # stopped by us, since when
+        self.changed: set[str] = set()  # ever run with the new version
+        self.dead_since: dict[str, int] = {}
+        self.halts: dict[str, int] = {}
+        self.harmed_at = self.harmed_with = self.went_on_unheard = 0
+        self.deaths = 0
+        self.seconds = 0
+        self.holder: Release | None = None
+        self.next_holder = 0
+        self.calls, self.dies_at = 0, 0
+        self.most_ahead = 0
+        if faults:
+            self.dies_at = pick.randrange(20, 600)
+        loses = faults and zones > 2 and pick.random() < 0.3
+        self.lost_zone = (f"z{pick.randrange(zones)}", pick.randrange(100, 600)) if loses else ("", 0)
+
+    def put(self, kind: str, **fields: Any) -> dict[str, Any]:
+        self.index += 1
+        entry = {"k": kind, "at": self.now * SECOND} | fields
+        answer: dict[str, Any] = json.loads(self.ledger.apply(self.index, json.dumps(entry).encode()))
+        return answer
+
+    # the way of a release
+
+    def call(self, kind: str, **fields: Any) -> str:
+        return str(self.say(kind, **fields).get("no", ""))
+
+    def say(self, kind: str, **fields: Any) -> dict[str, Any]:
+        """An entry by the holder: it may be lost, or come into effect unheard, or the holder dies before or after."""
+        self.calls += 1
+        dies = self.dies_at and self.calls >= self.dies_at
+        if dies and self.chance.random() < 0.5:
+            raise Died
+        draw = self.chance.random() if self.faults else 1.0
+        if draw < 0.01:
+            raise OSError("lost")
+        answer = self.put(kind, **fields)
+        if dies:
+            raise Died
+        if draw < 0.02:
+            raise OSError("in doubt")
+        return answer
+
+    def ask(self, units: list[str], length: int, release: str) -> str:
+        self.asked += 1
+        return self.call("ask", holder="rel", inc=self.inc, n=self.asked, units=units, length=length, release=release)
+
+    def cancel(self, ask: str) -> str:
+        return self.call("cancel", holder="rel", inc=self.inc, n=int(ask.rpartition("/")[2]))
+
+    def step(self, kind: str, director: str, token: int) -> int:
+        answer = self.say(kind, holder="rel", inc=self.inc, unit=f"director/{director}", token=token)
+        return int(answer["ok"]["token"]) if "ok" in answer else 0
+
+    def adopt(self, director: str) -> str:
+        return self.call("adopt", holder="rel", inc=self.inc, unit=f"director/{director}")
+
+    def harm(self, release: str, reason: str) -> str:
+        self.harmed_at = self.harmed_at or self.now
+        self.harmed_with = self.harmed_with or len(self.changed)
+        return self.call("harm", release=release, reason=reason)
+
+    def halt(self, scope: str, reason: str) -> str:
+        return self.call("halt", scope=scope, by="rel", reason=reason)
+
+    def tell(self, director: str, leaving: bool, token: int) -> None:
+        one = self.directors[director]
+        if one.alive and one.up_at <= self.now and one.fence.allows(f"director/{director}", token):
+            if leaving and not one.leaving:
+                one.left_at = self.now + one.leave_time
+            one.leaving, one.acted = leaving, max(one.acted, token)
+
+    def renew(self, director: str, version: str, token: int) -> None:
+        one = self.directors[director]
+        if one.fence.allows(f"director/{director}", token):
+            if one.running and one.alive:
+                self._may_stop(director)
+            self._start(director, version)
+
+    def runs(self, director: str) -> list[str]:
+        one = self.directors[director]
+        return ([one.ordered] if one.running else []) + (["1"] if one.zombie else [])
+
+    def note(self, what: str, **about: object) -> None:
+        self.notes.append((self.now - self.start, what, about))
+
+    # the truth
+
+    def _start(self, name: str, version: str) -> None:
+        one, pick = self.directors[name], self.chance
+        one.zombie = self.kind == "twice" and version == "2"
+        if version == "2":
+            self.changed.add(name)
+        actual = "1" if self.kind == "older" and version == "2" else version
+        one.version, one.alive, one.running, one.leaving, one.n = actual, True, True, False, 0
+        one.ordered = version
+        one.up_at = self.now + one.start_time + pick.randint(0, 2)
+        if self.kind == "never" and version == "2":
+            one.up_at = 1 << 60
+        one.inc, one.acted, one.renewed = one.inc + 1, 0, self.now
+        if self._zone_dead(one):
+            one.alive = one.running = False
+        self.dead_since.setdefault(name, self.now)
+
+    def _zone_dead(self, one: SimDirector) -> bool:
+        zone, since = self.lost_zone
+        return one.zone == zone and since <= self.now - self.start < since + 240
+
+    def _may_stop(self, name: str) -> None:
+        """A process that answers is to be stopped by an order."""
+        one = self.directors[name]
+        gone = [n for n, d in self.directors.items() if n in self.out_planned
+                or not self._answers(d) and self.now - self.dead_since.get(n, self.now) > LEASE + 2]  # fmt: skip
+        for scope, names in (("directors", self.directors), (f"directors-zone {one.zone}", [
+                n for n, d in self.directors.items() if d.zone == one.zone])):  # fmt: skip
+            limit = self.rules.budgets[1 if scope == "directors" else 2][2] * len(names) // MILLION
+            if len([n for n in {*gone, name} if n in names]) > limit:
+                raise Broken(f"{scope} allows {limit} out, and {name} is stopped as one more")
+        for scope, since in self.halts.items():
+            release = self.ledger.permits[f"director/{name}"].release
+            if scope in ("all", f"zone {one.zone}", f"release {release}") and self.now - since > LEASE:
+                raise Broken(f"{name} is stopped under the halt of {scope}")
+        self.out_planned[name] = self.now
+
+    def _answers(self, one: SimDirector) -> bool:
+        return one.alive and one.up_at <= self.now
+
+    def _look(self) -> None:
+        """What holds at every second."""
+        halts = {scope: h.since // SECOND for scope, h in self.ledger.halts.items()}
+        self.halts = {s: self.halts.get(s, self.now) for s in halts}
+        for name, one in self.directors.items():
+            if self._answers(one):
+                self.dead_since.pop(name, None)
+                self.out_planned.pop(name, None)
+            else:
+                self.dead_since.setdefault(name, self.now)
+
+    def live_with(self, version: str) -> list[str]:
+        return [n for n, d in self.directors.items() if self._answers(d) and d.version == version]
+
+    # a second
+
+    def fleet(self) -> None:
+        pick, t = self.chance, self.now - self.start
+        for name, one in self.directors.items():
+            if self._zone_dead(one) and one.alive:
+                one.alive = one.running = False
+                one.back_at = self.now + 240 + pick.randint(0, 30)
+            elif one.alive and self.faults and pick.random() < self.losses / 3600:
+                one.alive = one.running = False
+                one.back_at = self.now + pick.choice([20, 60, 600])
+            elif one.alive and one.version == "2" and self.kind in ("crashes", "dies"):
+                if self._answers(one) and self.now >= one.up_at + 60:
+                    one.alive = one.running = False
+                    one.back_at = self.now + 8 if self.kind == "crashes" else 1 << 60
+            elif not one.alive and one.back_at and self.now >= one.back_at and not self._zone_dead(one):
+                one.alive = one.running = True
+                one.inc, one.n, one.leaving, one.acted, one.back_at = one.inc + 1, 0, False, 0, 0
+                one.up_at = self.now + 1
+        live = [d for d in self.directors.values() if self._answers(d) and not d.leaving]
+        total = sum(d.weight for d in live) or 1.0
+        for one in self.directors.values():
+            if not self._answers(one):
+                one.proxies = 0.0
+            else:
+                goal = self.proxies * one.weight / total if one in live else 0.0
+                if self.kind == "unused" and one.version == "2":
+                    goal = 0.0
+                one.proxies += (goal - one.proxies) / (RAMP if goal > one.proxies else 3)
+        swing = 0.01 + 0.005 * math.sin(2 * math.pi * (t + self.phase) / 3_600)
+        shocks = {z: pick.gauss(0, 0.003) for z in {d.zone for d in self.directors.values()}}
+        words: dict[str, Any] = {}
+        for name, one in self.directors.items():
+            if not self._answers(one):
+                continue
+            if self.ledger.directors[name].incarnation != one.inc or not self.ledger.directors[name].live or t % 3 == 0:
+                if not self.faults or pick.random() > 0.02:
+                    answer = self.put("join", director=name, inc=one.inc, zone=one.zone, version=one.version)
+                    if "no" in answer:
+                        one.inc, one.n = one.inc + 1, 0
+            one.n += 1
+            one.noise = [0.7 * a + pick.gauss(0, s) for a, s in zip(one.noise, (0.004, 0.002, 0.01, 0.05), strict=True)]
+            bad = self.kind if one.version == "2" else ""
+            proxies = round(one.proxies)
+            refused = swing + shocks[one.zone] + one.bent[0] + one.noise[0] + (0.04 if bad == "refuses" else 0)
+            failed = 0.005 + one.bent[1] + one.noise[1]
+            bare = one.bent[2] + abs(one.noise[2]) + (0.3 if bad == "bare" else 0)
+            waiting = 0.1 + one.bent[3] + one.noise[3] + (1.5 if bad == "waits" else 0)
+            if self.faults and pick.random() < 0.03:
+                continue  # lost
+            refused, bare = min(1.0, max(0.0, refused)), min(1.0, bare)
+            took = {}
+            if not words:  # proxies join others at once; one of them says it of all
+                took = {n: [d.incarnation, d.proxies] for n, d in self.ledger.directors.items() if not d.live}
+            words[name] = {
+                "inc": one.inc, "n": one.n, "took": took, "proxies": proxies, "binding": 40, "token": one.acted,
+                "leaving": one.leaving and self.now >= one.left_at,
+                "bare": sum(pick.random() < bare for _ in range(proxies)), "refused": round(refused * MILLION),
+                "waiting": round(max(0.0, waiting) * self.rules.pace),
+                "fulfilled": round(max(0.0, 1 - refused - max(0.0, failed)) * MILLION),
+            }  # fmt: skip
+        self.put("words", directors=words)
+
+    def hold(self) -> None:
+        if self.holder is None:
+            if self.now < self.next_holder:
+                return
+            self.inc, self.asked = self.inc + 1, 0
+            self.holder = self.make(self.order, "rel", self)
+        try:
+            if self.now % 3 == 0 or not self.ledger.holders.get("rel"):
+                answer = self.put("hold", holder="rel", inc=self.inc)
+                if "no" in answer:
+                    raise Died
+            elif self.ledger.holders["rel"].incarnation != self.inc:
+                return
+            self.holder.look(view_of(self.ledger.look(), self.rules.pace))
+        except Died:
+            self.deaths += 1
+            self.holder, self.next_holder = None, self.now + self.chance.choice([1, 5, 30])
+            self.dies_at = self.calls + self.chance.randrange(20, 600)
+            if self.deaths >= 3:
+                self.dies_at = 0
+        except OSError:
+            pass
+
+    def run(self, most: int = 6_000, each: Callable[["Sim"], None] = lambda sim: None) -> str:
+        """How it ended; raises `Broken`."""
+        while self.seconds < most:
+            self.now, self.seconds = self.now + 1, self.seconds + 1
+            self.fleet()
+            for role, name, inc in list(self.ledger.due()):
+                self.put("lapse", role=role, name=name, inc=inc)
+            self.put("tick")
+            if self.now % 7 != 0 or not self.faults:
+                self.hold()
+            self._look()
+            each(self)
+            state = self.holder.state if self.holder else ""
+            held = self.ledger.halts.get(f"release {self.order.name}")
+            if state == "done":
+                return self._ended("done")
+            if state == "back: all are" and not self.live_with("2"):
+                return self._ended("back")
+            if held and held.reason.startswith("held"):
+                return self._ended("held")
+        return self._ended("never ended")
+
+    def _ended(self, how: str) -> str:
+        if how == "done":
+            if self.live_with("1"):
+                raise Broken("done, and some run the former version")
+            if any(p.release == self.order.name for p in self.ledger.permits.values()):
+                raise Broken("done, and permits are open")
+        if self.kind in HARMS and how == "done":
+            raise Broken(f"{self.kind}: a harmful release went through")
+        if self.kind in HARMS and self.harmed_with > max(2, len(self.directors) // 10):
+            raise Broken(f"{self.kind}: stopped at {self.harmed_with} of {len(self.directors)}")
+        if self.kind in HARMS and how == "never ended":
+            raise Broken(f"{self.kind}: neither stopped nor taken back whole: {self.holder and self.holder.why}")
+        if not self.kind and how == "never ended":
+            raise Broken(f"never ended: {self.holder and (self.holder.state, self.holder.why)}")
+        if self.kind == "unused" and how != "held":
+            raise Broken(f"unused: it ended {how}")
+        return how
+
+    def shortest(self) -> float:
+        """Seconds that budgets and channel need at least for all, none waiting for any word, verdict or holder."""
+        most = self.rules.budgets[1][2] * len(self.directors) // MILLION
+        n = len(self.directors)
+
+        def channel(out: int) -> int:
+            return channel_time(self.rules, n - out, self.proxies * (n - out) // n, self.proxies * out // n, 40, 100, 0)
+
+        while most > 1 and channel(most) > self.rules.bare:
+            most -= 1
+        spans = {name: d.leave_time + d.start_time for name, d in self.directors.items()}
+        longest = sum(spans.values()) / most
+        for zone in {d.zone for d in self.directors.values()}:
+            its = [spans[name] for name, d in self.directors.items() if d.zone == zone]
+            longest = max(longest, sum(its) / max(1, self.rules.budgets[2][2] * len(its) // MILLION))
+        return longest
+
+
+def quantiles(values: Sequence[float]) -> str:
+    if len(values) < 2:
+        return str([round(v, 2) for v in values])
+    cut = statistics.quantiles(values, n=20, method="inclusive")
+    return f"5% {cut[0]:.2f}, half {cut[9]:.2f}, 95% {cut[18]:.2f}, most {max(values):.2f}"
+
+
+def play(seeds: range, directors: int) -> int:
+    broken = 0
+    for harm in ("", *HARMS, "unused"):
+        ends: dict[str, int] = {}
+        times, stops, ratios = [], [], []
+        for seed in seeds:
+            sim = Sim(seed, harm, directors)
+            try:
+                how = sim.run()
+            except Broken as cause:
+                broken, how = broken + 1, f"broken, seed {seed}: {cause}"
+            ends[how] = ends.get(how, 0) + 1
+            times.append(float(sim.seconds))
+            ratios.append(sim.seconds / sim.shortest())
+            if sim.harmed_at:
+                stops.append(float(sim.harmed_at - sim.start))
+        print(f"{harm or 'harmless'}: {ends}\n  seconds {quantiles(times)}; of the shortest {quantiles(ratios)}")
+        if stops:
+            print(f"  to stop {quantiles(stops)}", flush=True)
+    return broken
+
+
+if __name__ == "__main__":
+    count, first, many = (*map(int, sys.argv[1:]), *(10, 0, 230)[len(sys.argv) - 1 :])
+    sys.exit(bool(play(range(first, first + count), many)))
--- a/ironfall/permits/standing.py
+++ b/ironfall/permits/standing.py
@@ -305,7 +305,7 @@
             "permits": {u: asdict(p) for u, p in self.permits.items()},
             "asks": {a.id: {"units": a.units, "since": a.since, "short": a.short} for a in self.asks.values()},
             "halts": {s: asdict(h) for s, h in self.halts.items()},
-            "directors": {name: [d.live, d.incarnation, d.version, d.proxies, d.waiting, d.bare, d.refused, d.fulfilled]
-                          for name, d in self.directors.items()},
+            "directors": {name: [d.live, d.incarnation, d.version, d.proxies, d.waiting, d.bare, d.refused, d.fulfilled,
+                                 d.zone, d.number] for name, d in self.directors.items()},
             "scopes": {s: [c.total, c.out, c.unplanned, self.scopes.limit(s)] for s, c in self.scopes.counts.items()},
         }  # fmt: skip
