Check releases by seeds, dying holders and seven wrong releases, each caught by name

Need: the judge's error must hold however long it is looked at, and a release must go on from wherever its holder died. Zones keep some directors off trial to compare with; deaths are weighed by an e-value; what can't be drained on the way back is left to an operator after three tries.

--- a/ironfall/lab/releases_sim.py
+++ b/ironfall/lab/releases_sim.py
@@ -11,17 +11,20 @@
 import random
 import statistics
 import sys
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable, Collection, Mapping, Sequence
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from ironfall.permits import Fence, Ledger, Rules
 from ironfall.permits.room import channel_time
 from ironfall.permits.terms import MILLION
-from ironfall.releases import Order, Release, view_of
+from ironfall.releases import Judge, Order, Release, View, Word, view_of
+from ironfall.releases.release import Wave
+from ironfall.releases.view import Held
 
 SECOND = 10_000
-HARMS = ("refuses", "bare", "crashes", "waits", "never", "older", "twice", "dies")
+HARMS = ("refuses", "bare", "crashes", "waits", "never", "older", "twice")
+UNHEARD = ("unused", "mute", "dies")  # to be held: nobody joins it, it says nothing more, or one is lost and stays so
 LEASE, RAMP = 10, 20.0
 
 
@@ -59,13 +62,15 @@
 
 
 class Sim:
-    """One release. `harm`: one of `HARMS`, `unused`, or nothing."""
+    """One release. `harm`: one of `HARMS` or `UNHEARD`, or nothing; `surge`: refusals everywhere from a minute on."""
 
     def __init__(self, seed: int, harm: str = "", directors: int = 230, zones: int = 8, make: type[Release] = Release,
-                 faults: bool = True, order: Order | None = None, losses: float = 0.3) -> None:  # fmt: skip
+                 faults: bool = True, order: Order | None = None, losses: float = 0.3,
+                 surge: float = 0.0) -> None:  # fmt: skip
         self.chance, self.kind, self.faults, self.make = random.Random(seed), harm, faults, make
         self.ledger, self.index, self.now, self.start = Ledger(), 0, 36_000, 36_000  # seconds
-        self.losses, self.order, self.inc, self.asked = losses, order or Order("r2", "1", "2"), 0, 0
+        self.losses, self.surge = losses, surge
+        self.order, self.inc, self.asked = order or Order("r2", "1", "2"), 0, 0
         pick = self.chance
         self.phase = pick.random() * 86_400
         self.directors = {
@@ -97,7 +102,7 @@
         self.calls, self.dies_at = 0, 0
         self.most_ahead = 0
         if faults:
-            self.dies_at = pick.randrange(20, 600)
+            self.dies_at = pick.randrange(10, 6 * directors)
         loses = faults and zones > 2 and pick.random() < 0.3
         self.lost_zone = (f"z{pick.randrange(zones)}", pick.randrange(100, 600)) if loses else ("", 0)
 
@@ -143,6 +148,8 @@
         return self.call("adopt", holder="rel", inc=self.inc, unit=f"director/{director}")
 
     def harm(self, release: str, reason: str) -> str:
+        if self.kind in UNHEARD:
+            raise Broken(f"{self.kind}: not enough was heard, and yet: {reason}")
         self.harmed_at = self.harmed_at or self.now
         self.harmed_with = self.harmed_with or len(self.changed)
         return self.call("harm", release=release, reason=reason)
@@ -158,11 +165,21 @@
             one.leaving, one.acted = leaving, max(one.acted, token)
 
     def renew(self, director: str, version: str, token: int) -> None:
+        self.calls += 1
+        dies = self.dies_at and self.calls >= self.dies_at
+        if dies and self.chance.random() < 0.3:
+            raise Died
         one = self.directors[director]
         if one.fence.allows(f"director/{director}", token):
             if one.running and one.alive:
                 self._may_stop(director)
+                one.running = one.alive = False
+                self.dead_since[director] = self.now
+            if dies and self.chance.random() < 0.5:
+                raise Died  # stopped, and nothing started
             self._start(director, version)
+        if dies:
+            raise Died
 
     def runs(self, director: str) -> list[str]:
         one = self.directors[director]
@@ -195,7 +212,9 @@
 
     def _may_stop(self, name: str) -> None:
         """A process that answers is to be stopped by an order."""
-        one = self.directors[name]
+        one, permit = self.directors[name], self.ledger.permits.get(f"director/{name}")
+        if permit is None or permit.state not in ("out", "returning"):
+            raise Broken(f"{name} is stopped and was not let out")
         gone = [n for n, d in self.directors.items() if n in self.out_planned
                 or not self._answers(d) and self.now - self.dead_since.get(n, self.now) > LEASE + 2]  # fmt: skip
         for scope, names in (("directors", self.directors), (f"directors-zone {one.zone}", [
@@ -204,7 +223,7 @@
             if len([n for n in {*gone, name} if n in names]) > limit:
                 raise Broken(f"{scope} allows {limit} out, and {name} is stopped as one more")
         for scope, since in self.halts.items():
-            release = self.ledger.permits[f"director/{name}"].release
+            release = permit.release
             if scope in ("all", f"zone {one.zone}", f"release {release}") and self.now - since > LEASE:
                 raise Broken(f"{name} is stopped under the halt of {scope}")
         self.out_planned[name] = self.now
@@ -255,7 +274,7 @@
                 if self.kind == "unused" and one.version == "2":
                     goal = 0.0
                 one.proxies += (goal - one.proxies) / (RAMP if goal > one.proxies else 3)
-        swing = 0.01 + 0.005 * math.sin(2 * math.pi * (t + self.phase) / 3_600)
+        swing = (self.surge if t > 60 else 0.0) + 0.01 + 0.005 * math.sin(2 * math.pi * (t + self.phase) / 3_600)
         shocks = {z: pick.gauss(0, 0.003) for z in {d.zone for d in self.directors.values()}}
         words: dict[str, Any] = {}
         for name, one in self.directors.items():
@@ -274,8 +293,8 @@
             failed = 0.005 + one.bent[1] + one.noise[1]
             bare = one.bent[2] + abs(one.noise[2]) + (0.3 if bad == "bare" else 0)
             waiting = 0.1 + one.bent[3] + one.noise[3] + (1.5 if bad == "waits" else 0)
-            if self.faults and pick.random() < 0.03:
-                continue  # lost
+            if self.faults and pick.random() < 0.03 or bad == "mute" and self.now >= one.up_at + 45:
+                continue  # lost, or never said
             refused, bare = min(1.0, max(0.0, refused)), min(1.0, bare)
             took = {}
             if not words:  # proxies join others at once; one of them says it of all
@@ -306,7 +325,7 @@
         except Died:
             self.deaths += 1
             self.holder, self.next_holder = None, self.now + self.chance.choice([1, 5, 30])
-            self.dies_at = self.calls + self.chance.randrange(20, 600)
+            self.dies_at = self.calls + self.chance.randrange(10, 6 * len(self.directors))
             if self.deaths >= 3:
                 self.dies_at = 0
         except OSError:
@@ -348,8 +367,8 @@
             raise Broken(f"{self.kind}: neither stopped nor taken back whole: {self.holder and self.holder.why}")
         if not self.kind and how == "never ended":
             raise Broken(f"never ended: {self.holder and (self.holder.state, self.holder.why)}")
-        if self.kind == "unused" and how != "held":
-            raise Broken(f"unused: it ended {how}")
+        if self.kind in UNHEARD and how == "done":
+            raise Broken(f"{self.kind}: it went through, and not enough was heard")
         return how
 
     def shortest(self) -> float:
@@ -370,6 +389,97 @@
         return longest
 
 
+class _Sampled(Judge):
+    """One threshold on one sample."""
+
+    def second(self, words: Mapping[str, Word], tried: Collection[str], rest: Collection[str]) -> None:
+        mine, others = ([words[n].figures[0] for n in names if n in words] for names in (tried, rest))
+        if mine and others:
+            apart = statistics.mean(mine) - statistics.mean(others)
+            self.known, self.because = ("harm" if apart > 0.4 * self.harms[0] else "fine"), f"{apart:.4f}"
+
+
+class _Trusting(Judge):
+    """Goes on when not enough is heard."""
+
+    def found(self) -> tuple[str, str]:
+        known, why = super().found()
+        return known or "fine", why
+
+
+class _Repeating(Judge):
+    """Counts what a director said once in every second."""
+
+    def second(self, words: Mapping[str, Word], tried: Collection[str], rest: Collection[str]) -> None:
+        self.latest = {}
+        super().second(words, tried, rest)
+
+
+class _Former(Judge):
+    """Compares with what the rest said at another time."""
+
+    then: Mapping[str, Word] = {}
+
+    def second(self, words: Mapping[str, Word], tried: Collection[str], rest: Collection[str]) -> None:
+        self.then = self.then or {n: words[n] for n in rest if n in words}
+        self.latest = {}
+        super().second({n: w for n, w in words.items() if n in tried} | dict(self.then), tried, rest)
+
+
+def judged(judge: type[Judge]) -> type[Release]:
+    class Wrong(Release):
+        def _wave(self, names: list[str]) -> Wave:
+            wave = super()._wave(names)
+            wave.judge = judge(self.order.level, self.order.harms)
+            return wave
+
+    return Wrong
+
+
+class _Forgets(Release):
+    """Takes back all waves but the last."""
+
+    last: tuple[str, ...] = ()
+
+    def _ask(self, names: list[str], release: str) -> None:
+        if release == self.order.name:
+            self.last = tuple(names)
+        super()._ask(names, release)
+
+    def _go_back(self, view: View) -> None:
+        self.way.note("back", but=self.last)
+        kept = {n: s for n, s in view.directors.items() if n not in self.last}
+        super()._go_back(replace(view, directors=kept))
+
+
+class _Hasty(Release):
+    """Stops what was not let out."""
+
+    def _step(self, view: View, name: str, held: Held, back: bool) -> None:
+        if held.state == "draining":
+            self.way.renew(name, self.order.wanted, held.token)
+        super()._step(view, name, held, back)
+
+
+class _Deaf(Release):
+    """Goes on under a halt."""
+
+    def _direction(self, view: View) -> str:
+        return "on"
+
+
+# Each with the kind of release that it is caught at, and by what.
+WRONG: dict[str, tuple[type[Release], dict[str, Any], str]] = {
+    "one threshold on one sample": (judged(_Sampled), {}, "harmless, and taken back"),
+    "goes on when not enough is heard": (judged(_Trusting), {"harm": "unused"}, "not enough was heard"),
+    "forgets the way back of the last wave": (_Forgets, {"harm": "refuses"}, "neither stopped nor taken back whole"),
+    "counts a word twice": (judged(_Repeating), {"harm": "mute"}, "not enough was heard"),
+    "compares with another time": (judged(_Former), {"surge": 0.05}, "harmless, and taken back"),
+    "stops before it may": (_Hasty, {}, "was not let out"),
+    "goes on under its halt": (_Deaf, {"harm": "refuses"}, "neither stopped nor taken back whole"),
+}
+
+
 def quantiles(values: Sequence[float]) -> str:
     if len(values) < 2:
         return str([round(v, 2) for v in values])
@@ -379,7 +489,7 @@
 
 def play(seeds: range, directors: int) -> int:
     broken = 0
-    for harm in ("", *HARMS, "unused"):
+    for harm in ("", *HARMS, *UNHEARD):
         ends: dict[str, int] = {}
         times, stops, ratios = [], [], []
         for seed in seeds:
--- a/ironfall/releases/judge.py
+++ b/ironfall/releases/judge.py
@@ -82,7 +82,7 @@
         self.open, self.open_sums = 0, [0.0] * len(MEASURES)
         self.blocks, self.means = 0, [0.0] * len(MEASURES)
         self.squares = [0.0] * len(MEASURES)  # of differences from the mean (Welford)
-        self.why, self.known = "nothing heard yet", ""
+        self.why, self.known, self.because = "nothing heard yet", "", ""
 
     def second(self, words: Mapping[str, Word], tried: Collection[str], rest: Collection[str]) -> None:
         """A word counts once: one that is not newer than the last is missing, and missing is not good."""
@@ -127,7 +127,8 @@
             self.means[n] += before / self.blocks
             self.squares[n] += before * (value - self.means[n])
         self.open, self.open_sums = 0, [0.0] * len(MEASURES)
-        self.known, self.why = self._found()
+        self.known, self.because = self._found()
+        self.why = self.because
 
     def _between(self) -> tuple[list[float], float]:
         """The spread between directors of each measure, and by how many of it those on trial may differ by chance;
@@ -163,7 +164,7 @@
 
     def found(self) -> tuple[str, str]:
         """`harm`, `fine`, or nothing: not enough was heard. With the reason."""
-        return self.known, self.why if self.known else f"not enough heard: {self.why}"
+        return self.known, self.because if self.known else f"not enough heard: {self.why}"
 
     def _found(self) -> tuple[str, str]:
         bounds = self.bounds()
--- a/ironfall/releases/release.py
+++ b/ironfall/releases/release.py
@@ -14,6 +14,8 @@
 from ironfall.releases.view import Held, Seen, View
 
 SECOND = 10_000
+TRIES = 3  # of one on the way back: what says nothing more is never empty, and is an operator's
+BESIDE = 3  # of a zone that are not on trial
 DEATHS = 2e-3  # the error by deaths: that they fall upon the new version by chance, however long it is watched
 ODDS = (5.0, 50.0, 500.0)  # times as deadly, as an alternative; mixed evenly
 
@@ -84,6 +86,8 @@
         self.spoke: dict[str, tuple[int, int, int]] = {}  # incarnation, number of the last word, when
         self.twice: dict[str, int] = {}
         self.stood: dict[str, tuple[int, bool]] = {}  # of those that lived: incarnation, whether with the new version
+        self.tries: dict[str, int] = {}
+        self.lost: dict[str, int] = {}  # zones of which most were gone: when last
         self.deaths: dict[str, int] = {}  # with the new version
         self.evidence = [1.0] * len(ODDS)
         self.count, self.cap, self.held = 0, 1 << 30, 0
@@ -237,7 +241,7 @@
                 and view.directors[name].version != self.order.wanted and name not in view.permits]  # fmt: skip
         for wave in self.waves:  # what was asked for and taken back, or refused, is a wave's no more
             gone = [n for n in wave.names if n in left and n not in asked]
-            if gone and wave.begun == 0:
+            if gone:
                 wave.names = [n for n in wave.names if n not in gone]
         self.waves = [wave for wave in self.waves if wave.names]
         if self._resize(view, False) or asked:
@@ -265,7 +269,8 @@
         flowing = len(self.confirmed) >= first
         if flowing and size < min(len(left), most // 4):
             return
-        names = self._fit(view, left, size, now=flowing and any(h.holder == self.holder for h in view.permits.values()))
+        compared = self._compared(view, left, trial)
+        names = self._fit(view, compared, size, now=flowing and bool(under))
         # A few places that came free are not worth an ask: it is all or nothing, and is told with its wave.
         if flowing and len(names) < min(len(left), size, max(1, most // 4)):
             return
@@ -279,12 +284,32 @@
             return
         names = [name for name in self._order(view) if self._changed(view.directors[name]) and name not in view.permits]
         held = [h for h in view.permits.values() if h.holder == self.holder]
+        stuck = [name for name in names if self.tries.get(name, 0) >= TRIES]
+        names = [name for name in names if name not in stuck]
         if not names:
-            return self._say("back" if held else "back: all are", self.why)
+            but = f"; but {', '.join(stuck[:3])}: not drained in {TRIES} tries" if stuck else ""
+            return self._say("back" if held else "back: all but some" if stuck else "back: all are", self.why + but)
         found = self._fit(view, names, self._most(view), now=bool(held))
         if found and len(found) >= min(len(names), max(1, self._most(view) // 4)):
+            self.tries |= {name: self.tries.get(name, 0) + 1 for name in found}
             self._ask(found, self.back_name)
 
+    def _compared(self, view: View, left: list[str], trial: set[str]) -> list[str]:
+        """Those whose zone keeps some beside them: where all are on trial nothing can be compared."""
+        rest: dict[str, int] = {}
+        whole: dict[str, int] = {}
+        for name, seen in view.directors.items():
+            whole[seen.zone] = whole.get(seen.zone, 0) + 1
+            if seen.live and name not in trial and name not in view.permits:
+                rest[seen.zone] = rest.get(seen.zone, 0) + 1
+        found = []
+        for name in left:
+            zone = view.directors[name].zone
+            if rest.get(zone, 0) > min(BESIDE, whole[zone] - 1):
+                rest[zone] -= 1
+                found.append(name)
+        return found
+
     def _mine(self, view: View) -> Iterable[str]:
         return (ask for ask in view.asks if ask.startswith(f"{self.holder}/"))
 
@@ -338,20 +363,24 @@
             if held.state != "returning":
                 token = way.step("back", name, token) or token
             way.tell(name, False, token)
-            late = not forward and view.now - held.since >= 3 * self.order.up
-            if late and held.state == "returning" and not self._zone_lost(view, name):
+            if (back or not forward) and held.state != "empty" and self._late(view, name, held, 3 * self.order.up):
                 if (scope := f"release {self.back_name}") not in view.halts:
                     way.halt(scope, f"{name} does not come up with {self.order.former} either")
 
-    def _zone_lost(self, view: View, name: str) -> bool:
-        zone = view.directors[name].zone
-        others = [s.live for n, s in view.directors.items() if s.zone == zone and n != name and n not in view.permits]
-        return 2 * sum(others) < len(others)
+    def _late(self, view: View, name: str, held: Held, most: int) -> bool:
+        """Whether it should have come up, in a zone that stands all that time."""
+        since = max(held.since, self.lost.get(view.directors[name].zone, 0))
+        return held.state in ("out", "returning") and view.now - since >= most
 
     # verdicts
 
     def _watch(self, view: View) -> None:
         """What became of each that was changed: its incarnations, its deaths, whether two speak at once."""
+        stands: dict[str, list[int]] = {}
+        for name, seen in view.directors.items():
+            if name not in view.permits:
+                stands.setdefault(seen.zone, [0, 0])[seen.live] += 1
+        self.lost |= {zone: view.now for zone, (gone, live) in stands.items() if live < gone}
         for name, seen in view.directors.items():
             before = self.spoke.get(name)
             if before and seen.incarnation > before[0] and name not in view.permits and view.now - before[2] <= SECOND:
@@ -398,10 +427,9 @@
     def _harmful(self, view: View) -> str:
         """What shows harm without any figure."""
         for name, held in view.permits.items():
-            late = held.state in ("out", "returning") and view.now - held.since >= self.order.up
-            if held.holder == self.holder and held.release == self.order.name and late and not held.recalled:
-                if not self._zone_lost(view, name):
-                    return f"{name} never came up"
+            ours = held.holder == self.holder and held.release == self.order.name and not held.recalled
+            if ours and self._late(view, name, held, self.order.up):
+                return f"{name} never came up"
         for name, count in self.deaths.items():
             if count >= self.order.again:
                 return f"{name} died {count} times"
@@ -427,7 +455,8 @@
         words = {name: seen.word for name, seen in view.directors.items() if seen.live and name not in view.permits}
         trial = {name for wave in self.waves for name in wave.names}
         for wave in list(self.waves):
-            if any(n in view.permits or self._asked(view, n) for n in wave.names):
+            still = [n for n in wave.names if n in words and not self._changed(view.directors[n])]
+            if still or any(n in view.permits or self._asked(view, n) for n in wave.names):
                 continue
             wave.begun = wave.begun or view.now
             settled = [n for n in wave.names if n in self.ups and view.now - self.ups[n][1] >= self.order.settle]
@@ -451,13 +480,13 @@
                 return
 
     def _rest(self, view: View, words: Iterable[str], trial: set[str], wave: Wave) -> list[str]:
-        """Those of the former version; in a zone that has too few left, those confirmed too."""
+        """Those of the former version; where too few are left, in a zone or in all, those confirmed too."""
         left: dict[str, int] = {}
         former = [n for n in words if n not in trial and view.directors[n].version != self.order.wanted]
         for name in former:
             left[view.directors[name].zone] = left.get(view.directors[name].zone, 0) + 1
-        few = [n for n in words if n in self.confirmed and left.get(view.directors[n].zone, 0) < 4]
-        return former + few
+        more = [n for n in words if n in self.confirmed]
+        return former + [n for n in more if len(former) < 20 or left.get(view.directors[n].zone, 0) < 4]
 
     def _confirm(self, wave: Wave, why: str) -> None:
         self.confirmed |= set(wave.names)
