Drive a release against real keepers, with hands that stop and start processes

Need: the pure release needs a lease, looks and entries at real keepers, and a site's own hands on its directors. releases/holder.py does the first, a small Hands protocol the second; lab/release_hands.py is the stand-in with processes.

--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -2,13 +2,19 @@
 
 import random
 
+import gevent
 import pytest
+import structlog
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ironfall.lab.release_hands import LocalHands
 from ironfall.lab.releases_sim import HARMS, UNHEARD, WRONG, Broken, Sim
 from ironfall.releases import Judge, Order, Word
+from ironfall.releases.holder import Holder
 from ironfall.releases.judge import always, student
+from ironfall.terms import read_terms
+from tests.keepers import Group, until
 
 SECOND = 10_000
 HARMS_SIZED = (0.03, 0.03, 0.2, 1.0)
@@ -179,3 +185,54 @@
         for seed in range(3):
             if Sim(seed, make=make, **about, **FEW, faults=False).run(1_200) == "back" and not about.get("harm"):
                 raise Broken("harmless, and taken back")
+
+
+# processes
+
+
+@pytest.fixture
+def directors(tmp_path):
+    """One keeper, and three directors of version 1."""
+    with Group(tmp_path, 1) as group, open(tmp_path / "directors.log", "w") as log:
+        hands = LocalHands(group.file, {"d1": "east", "d2": "east", "d3": "west"}, random.Random(1), log)
+        try:
+            for name in hands.zones:
+                hands.start(name, "1")
+            until(lambda: len(seen(group)) == 3)
+            yield group, hands
+        finally:
+            hands.close()
+
+
+def seen(group):
+    """The versions that directors with a lease say."""
+    told = group.looker.look(1.0).told
+    return {name: one[2] for name, one in told["ledger"]["directors"].items() if one[0]} if told else {}
+
+
+def test_processes_are_changed_one_by_one_and_taken_back(directors):
+    group, hands = directors
+    terms = read_terms(str(group.file), group.file.read_text())
+    order = {"up": 5 * SECOND, "settle": 0, "limit": SECOND, "least": 0}
+
+    def released(name, former, wanted):
+        holder = Holder(group.asker("releases"), Order(name, former, wanted, **order), hands, f"release {name}",
+                        int(terms.service.lines_each_second), terms.fleet.lease, random.Random(2),
+                        structlog.get_logger())  # fmt: skip
+        return holder, gevent.spawn(holder.run, 0.1)
+
+    holder, run = released("broken", "1", "broken 2")
+    assert run.get(timeout=40) == "back: all are", "it never came up, and went back"
+    assert seen(group) == {"d1": "1", "d2": "1", "d3": "1"} and len(hands.history) == 5
+    halts = group.looker.look().told["ledger"]["halts"]
+    assert "never came up" in halts["release broken"]["reason"]
+
+    holder, run = released("good", "1", "2")
+    until(lambda: holder.release.state == "halted", 30)
+    assert sorted(seen(group).values()) == ["1", "1", "2"], "three are too few to compare: it holds at the first"
+    run.kill()
+    # Whoever takes it up goes on from what directors say.
+    holder, run = released("good", "1", "2")
+    until(lambda: holder.release.state == "halted", 30)
+    assert group.asker("ann").ask({"k": "halt", "scope": "release good", "by": "ann", "reason": "back: enough"}).done
+    assert run.get(timeout=30) == "back: all are" and set(seen(group).values()) == {"1"}
