--- a/benchmarks/releases.py
+++ b/benchmarks/releases.py
@@ -4,12 +4,13 @@
     python -m benchmarks.releases [SEEDS [FIRST]]
 """
 
+import random
 import statistics
 import sys
 import time
 
 from ironfall.lab.releases_sim import HARMS, UNHEARD, Broken, Sim, quantiles
-from ironfall.releases import Order
+from ironfall.releases import Judge, Order, Word
 
 DIRECTORS = 230
 
@@ -45,9 +46,38 @@
     return len(broken), statistics.mean(ratios)
 
 
+def judged(seed, level, worse, seconds=300):
+    """One director on trial of a hundred in four zones, without any ledger: what is found, and when."""
+    chance = random.Random(seed)
+    bents = {f"d{n}": (f"z{n % 4}", chance.gauss(0, 0.002)) for n in range(100)}
+    noise, judge, rest = dict.fromkeys(bents, 0.0), Judge(level, Order.harms), [n for n in bents if n != "d0"]
+    for second in range(1, seconds + 1):
+        shocks = {f"z{n}": 0.01 + chance.gauss(0, 0.003) for n in range(4)}
+        words = {}
+        for name, (zone, bent) in bents.items():
+            noise[name] = 0.7 * noise[name] + chance.gauss(0, 0.004)
+            if chance.random() > 0.03:
+                refused = max(0.0, shocks[zone] + bent + noise[name] + worse * (name == "d0"))
+                words[name] = Word(zone, 1, second, 10, (refused, refused + 0.005, 0.02, 0.1))
+        judge.second(words, ["d0"], rest)
+        if judge.found()[0] == "harm":
+            return "harm", second
+    return judge.found()[0], seconds
+
+
+def test_of_one(seeds):
+    for level, worse in ((0.01, 0.0), (0.2, 0.0), (0.01, 0.01), (0.01, 0.02), (0.01, 0.03), (0.01, 0.04)):
+        found = [judged(seed, level, worse) for seed in seeds]
+        ends = {end: sum(f == end for f, _ in found) for end in ("harm", "fine", "")}
+        when = [float(second) for end, second in found if end == "harm"]
+        print(f"one director, level {level}, refused more by {worse}: {ends}", f"; {quantiles(when)}" if when else "")
+        sys.stdout.flush()
+
+
 def main():
     seeds, first = (*map(int, sys.argv[1:]), *(10, 0)[len(sys.argv) - 1 :])
     span, broken = range(first, first + seeds), 0
+    test_of_one(range(first, first + 20 * seeds))
     broken += play("", span, faults=False)[0]
     for kind in ("", *HARMS, *UNHEARD):
         broken += play(kind, span)[0]
--- a/ironfall/releases/release.py
+++ b/ironfall/releases/release.py
@@ -224,12 +224,14 @@
         return max(1, min(zones, limit - lost, self.cap))
 
     def _fit(self, view: View, names: Iterable[str], most: int, now: bool) -> list[str]:
-        """The first of them that have room together: in what is free `now`, or in all that is not lost by itself."""
+        """The first of them that have room together, in what is free `now` or in all that is not lost by itself, and
+        whose zone is not halted: one of those would hold up its whole wave."""
         room = {scope: limit - (out if now else lost) for scope, (limit, lost, out) in view.rooms.items()}
         found: list[str] = []
         for name in names:
             scopes = ["directors", f"directors-zone {view.directors[name].zone}"]
-            if len(found) < most and all(room.get(s, 0) > 0 for s in scopes):
+            halted = f"zone {view.directors[name].zone}" in view.halts
+            if len(found) < most and not halted and all(room.get(s, 0) > 0 for s in scopes):
                 found.append(name)
                 for scope in scopes:
                     room[scope] -= 1
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -166,6 +166,15 @@
     assert sim.run(each=each) == "done" and changed[0] == changed[1] != set(sim.directors)
 
 
+def test_a_halted_zone_waits_and_the_others_go_on():
+    sim = Sim(4, **FEW, faults=False)
+    sim.put("halt", scope="zone z1", by="ann", reason="power work")
+    with pytest.raises(Broken, match="never ended"):
+        sim.run(1_000)
+    zones = {sim.directors[name].zone for name in sim.changed}
+    assert zones == {"z0"} and len(sim.changed) > 5
+
+
 def test_a_wave_that_can_never_be_granted_is_made_smaller():
     sim, sizes = Sim(2, **FEW, faults=False), []
     plain = sim.ask
