--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -56,23 +56,32 @@
             for name, (zone, _) in bents.items()}  # fmt: skip
 
 
-def judged(seed, level, worse=0.0, seconds=160):
+def listened(seed, level, worse=0.0, seconds=150):
+    """A judge after each of its blocks."""
     chance = random.Random(seed)
     bents, judge = fleet(chance), Judge(level, HARMS_SIZED)
     rest = [n for n in bents if n != "d0"]
     for number in range(1, seconds + 1):
         judge.second(say(chance, bents, number, worse), ["d0"], rest)
-        if judge.found()[0]:
-            break
-    return judge.found()[0]
+        if number % 5 == 0:
+            yield judge
 
 
-def test_harmless_ones_are_seldom_blamed_and_harm_of_the_stated_size_never_passes():
-    found = [judged(seed, 0.2) for seed in range(120)]
-    # A fifth is allowed, and the bounds are wide; a director's own bent alone would be blamed far more often.
-    assert found.count("harm") <= 24 and found.count("fine") >= 60
-    found = [judged(seed, 0.01, worse=0.05) for seed in range(40)]
+def test_without_a_difference_the_bounds_hold_nought_however_long_it_is_looked_at():
+    level, runs = 0.4, 80
+    crossed = sum(any(not low <= 0 <= high for judge in listened(seed, level) for low, high in judge.bounds()[:1])
+                  for seed in range(runs))  # fmt: skip
+    # Half of a measure's share for the seconds, and half on either side for the director's own bent; three standard
+    # errors more. Without the bents' part nearly all cross.
+    share = 3 * level / 4 / 2
+    assert crossed <= runs * share + 3 * (runs * share * (1 - share)) ** 0.5
+
+
+def test_harm_of_the_stated_size_is_found_and_never_passes():
+    found = [next((known for judge in listened(seed, 0.01, worse=0.05) if (known := judge.found()[0])), "")
+             for seed in range(40)]  # fmt: skip
     assert found.count("fine") == 0 and found.count("harm") >= 36
+    assert all(list(listened(seed, 0.01))[-1].found()[0] == "fine" for seed in range(10))
 
 
 @settings(max_examples=25, deadline=None)
