--- a/ironfall/agreement/member.py
+++ b/ironfall/agreement/member.py
@@ -328,15 +328,21 @@
         part = self.snapshot[start : start + self.bounds.part]
         self.way.offer_part(to, self.boots, self.reign, self.beats, index, start, len(self.snapshot), part)
 
-    def took(self, sender: str, boots: int, reign: int, beat: int, fits: bool, index: int, durable: int) -> None:
-        if not self._same(sender, boots, reign, durable if durable >= 0 else None):
-            return
+    def _answers(self, sender: str, reign: int, beat: int) -> Peer | None:
+        """Whoever answers this leader's beat, heard now; nobody where it does not lead that reign."""
         if reign > self.reign:
             self._follow(reign, "")
         peer = self.peers.get(sender)
         if self.role != LEADER or reign != self.reign or peer is None:
-            return
+            return None
         peer.heard, peer.beat = self.way.now(), max(peer.beat, beat)
+        return peer
+
+    def took(self, sender: str, boots: int, reign: int, beat: int, fits: bool, index: int, durable: int) -> None:
+        if not self._same(sender, boots, reign, durable if durable >= 0 else None):
+            return
+        if (peer := self._answers(sender, reign, beat)) is None:
+            return
         if fits:
             if index:
                 self.memory.saw(sender, boots, reign, index)
@@ -356,12 +362,8 @@
     def took_part(self, sender: str, boots: int, reign: int, beat: int, index: int, size: int) -> None:
         if not self._same(sender, boots, reign):
             return
-        if reign > self.reign:
-            self._follow(reign, "")
-        peer = self.peers.get(sender)
-        if self.role != LEADER or reign != self.reign or peer is None:
+        if (peer := self._answers(sender, reign, beat)) is None:
             return
-        peer.heard, peer.beat = self.way.now(), max(peer.beat, beat)
         if peer.next <= self.log.base and peer.part[0] == index == self.snap_index:
             # Less than before: it came back without what was not yet durable there. The next beat goes on from that.
             more, peer.part = size > peer.part[1], (index, size)
