Ask the book once a turn what proxies have not confirmed, for the log of drains

Seen in the reading of the whole change: after each turn every open drain asked the book anew for each proxy that it awaits, and the book went through its moments each time. Now one pass over the moments serves all drains of the turn, and none is made where no drain is open and nothing was confirmed or listed. The figures told are the same.

--- a/ironfall/book.py
+++ b/ironfall/book.py
@@ -71,9 +71,9 @@
         self.moments = [m for m in self.moments if now - m.at < self.lost]
         return sum(m.left for m in self.moments)
 
-    def oldest(self, proxy: int, none: int) -> int:
-        """When the first of what this proxy has not confirmed was ordered; `none` where it has confirmed all."""
-        return next((m.at for m in self.moments if proxy in m.lines), none)
+    def oldest(self) -> dict[int, int]:
+        """By proxy, when the first of what it has not confirmed was ordered; who has confirmed all is not in it."""
+        return {proxy: m.at for m in reversed(self.moments) for proxy in m.lines}
 
     def most(self, now: int, enough: float, proxies: Collection[int] | None = None) -> int:
         """The most messages within the span to one of some proxies, or of all, that has none at this moment.
--- a/ironfall/platform/drains.py
+++ b/ironfall/platform/drains.py
@@ -4,7 +4,7 @@
 confirmed all that was ordered up to its binding and, if its table named the host, up to the host's leaving the tables.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import Any
 
@@ -37,9 +37,11 @@
     def bound(self, now: int, proxy: int) -> None:
         self.bound_at.setdefault(proxy, now)
 
-    def turned(self, now: int, director: Any, fresh: bool, confirmed: Iterable[int]) -> None:
+    def turned(self, now: int, director: Any, fresh: bool, confirmed: Collection[int]) -> None:
         """After each turn; `fresh` where it took a list, `confirmed`: who confirmed something in it."""
-        hosts, proxies = director.hosts, director.proxies
+        if not (fresh or confirmed or self.open):
+            return
+        hosts, proxies, oldest = director.hosts, director.proxies, director.book.oldest()
         if fresh:
             gone = {h.id for h in hosts.values() if not h.ready}
             for host in gone - self.known:
@@ -48,7 +50,7 @@
             self.known = gone
             self.open = {host: drain for host, drain in self.open.items() if host in gone}
         for proxy in [p for p in confirmed if p in self.unbound and p in proxies]:
-            if director.book.oldest(proxy, now + 1) > self.bound_at.get(proxy, now):
+            if oldest.get(proxy, now + 1) > self.bound_at.get(proxy, now):
                 joined, part = self.unbound.pop(proxy), proxies[proxy].part
                 self.worst_joiner = max(self.worst_joiner, now - joined)
                 for host, drain in self.open.items():
@@ -59,7 +61,7 @@
             it = hosts.get(host)
             if it and it.out:
                 # Who was not written to for it had a table that did not name it any more.
-                drain.awaits = {n for n in drain.awaits if director.book.oldest(n, now + 1) <= it.told}
+                drain.awaits = {n for n in drain.awaits if oldest.get(n, now + 1) <= it.told}
             if first > drain.at and not drain.awaits:
                 del self.open[host]
                 self.heard += 1
