End the director when any of its parts ends, and lose no early SIGHUP

Seen by reading and by tests (tests/test_crossing_life.py): a part of the program that ended without an exception (its greenlet killed or returned) was not noticed (program.py, start: link_exception alone): the director went on without calls or without a list. SIGHUP before the program stood ended the process; the configuration may have been read by then (main). Ruled out: SIGTERM at a call, in a dial, after three SIGHUPs, twice: exit 0 within 0.7 s, before and after. Change: the end of turns, calls and watch by any way ends the program (exit 1), as an exception did; SIGHUP is caught from the first line of main and told once the loop runs.

--- a/ironfall/platform/program.py
+++ b/ironfall/platform/program.py
@@ -72,9 +72,11 @@
                     self.turns.insist("listed", changes[0], True, False)
             except BadList as wrong:
                 self.log.warning("the list of before the start can't be read", cause=str(wrong))
-        for run in (self.turns.run, self.calls.run, self.watch.run, self._ready):
+        self.starting = gevent.spawn(self._ready)
+        self.starting.link_exception(self._broken)
+        for run in (self.turns.run, self.calls.run, self.watch.run):
             self.running.append(gevent.spawn(run))
-            self.running[-1].link_exception(self._broken)
+            self.running[-1].link(self._broken)
         self.news.start()
 
     def _ready(self) -> None:
@@ -97,13 +99,17 @@
     def let_go(self) -> None:
         """Lets go of all connections: a process that ends need not."""
         self.entry.server.stop(0)
-        gevent.killall(self.running + self.news.running + self.news.letting_go)
+        self.done.set()
+        gevent.killall([self.starting] + self.running + self.news.running + self.news.letting_go)
         self.calls.close()
         self.watch.client.close()
 
     def _broken(self, greenlet: gevent.Greenlet) -> None:
-        # Better no director than one that no longer decides: proxies keep their tables or find another.
-        self.log.error("broken", cause=repr(greenlet.exception))
+        # Better no director than one that no longer decides: proxies keep their tables or find another. None of
+        # these ends by itself, with an exception or without.
+        if self.done.is_set():
+            return
+        self.log.error("broken", cause=repr(greenlet.exception or greenlet))
         self.broken = True
         self.done.set()
 
@@ -218,6 +224,10 @@
 
 
 def main() -> int:
+    # From the first moment on, a new configuration ends nobody. The loop tells of a signal once it runs: there is a
+    # program by then, and the file may have been read before.
+    programs: list[Platform] = []
+    gevent.signal_handler(signal.SIGHUP, lambda: programs[0].reload())
     try:
         assignment = start.read()
     except start.Senseless as wrong:
@@ -227,7 +237,7 @@
     program = Platform(assignment, log)
     gevent.signal_handler(signal.SIGTERM, program.stop)
     gevent.signal_handler(signal.SIGINT, program.stop)
-    gevent.signal_handler(signal.SIGHUP, program.reload)
+    programs.append(program)
     try:
         program.start()
     except OSError as cause:
--- /dev/null
+++ b/tests/test_crossing_life.py
@@ -0,0 +1,107 @@
+"""What crosses signals, new configurations and ends of parts, on real sockets and with the crossing forced: a
+stand-in holds at a gate, or acts when the other side has come so far. Each test was seen to fail with its mend
+taken out; `docs/platform.md` has the list."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+from gevent import socket
+from gevent.event import Event
+
+from tests.platform_rig import REPORT, SETTINGS, Agent, PlatformRig, Relay, quiet, stream
+from tests.rig import until
+
+ROOT = Path(__file__).parent.parent
+
+
+@pytest.fixture
+def rig(tmp_path):
+    with PlatformRig(tmp_path) as rig:
+        rig.relay.attach(1)
+        until(lambda: 1 in rig.relay.bound() and quiet(rig))
+        yield rig
+
+
+def test_a_part_that_ends_without_a_fault_ends_the_program_too(rig):
+    rig.program.running[1].kill(block=False)
+    rig.program.done.wait(5)
+    assert rig.program.broken
+
+
+@pytest.mark.parametrize("change", [{"node": float("inf")}, {"nonce": float("inf")}])
+def test_news_that_cannot_be_read_cost_that_feed_alone(rig, change):
+    for sock in rig.relay.feeds[:1]:
+        rig.relay._send(sock, {"method": "done", "params": {"node": 1, "nonce": 1, "latency": 1.0, **change}})
+    until(lambda: rig.count("news broken") == 1 and len(rig.relay.feeds) == 2)
+
+
+def test_addresses_there_and_back_leave_two_feeds_and_no_more(rig):
+    other = Relay()
+    other.standing = {1: {**rig.relay.standing[1], "cold": False}}
+    here = rig.program.calls.address
+    for _ in range(3):
+        rig.program.news.moved(other.address)
+        rig.program.news.moved(here)
+    until(lambda: len(rig.relay.feeds) == 2 and not other.feeds and not rig.program.news.letting_go)
+    assert rig.program.streams.standing == {1} and len(rig.program.streams.feeds) == 2
+    other.stop()
+
+
+def serve(tmp_path, relay, agent):
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({"name": "n0", "listen": f"127.0.0.1:{port}", "settings": SETTINGS,
+                                "discovery": "{}:{}".format(*agent.address),
+                                "relay": {"address": "{}:{}".format(*relay.address)}}))  # fmt: skip
+    log = open(tmp_path / "log", "w")
+    environment = {**os.environ, "RELAY_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
+    running = subprocess.Popen([sys.executable, "-m", "ironfall", "serve"], env=environment, stderr=log)
+    return running, port
+
+
+@pytest.mark.parametrize("moment", ["call", "dial", "reload", "flood"])
+def test_sigterm_at_the_moment_of_a_call_a_dial_a_reload_or_a_flood_ends_it_soon_and_well(tmp_path, moment):
+    relay, agent, came = Relay(), Agent(), Event()
+    running, port = serve(tmp_path, relay, agent)
+    sender = None
+
+    def at_the_call(sock, call):
+        running.send_signal(signal.SIGTERM)
+        came.set()
+        raise OSError
+
+    if moment == "dial":
+        until(lambda: relay.feeds or running.poll() is not None)
+        relay.server.stop(0)
+        running.send_signal(signal.SIGTERM)
+    else:
+        until(lambda: len(relay.feeds) == 2)
+        if moment == "call":
+            relay.answers = [at_the_call]
+            relay.attach(1)
+            came.wait()
+        if moment == "flood":
+            sender = stream(("127.0.0.1", port), b"telemetry locality=lagos\r\n" + REPORT * 64, 100_000)
+            sender.stdout.read(1)
+        if moment == "reload":
+            for _ in range(3):
+                running.send_signal(signal.SIGHUP)
+        running.send_signal(signal.SIGTERM)
+    began = time.monotonic()
+    running.send_signal(signal.SIGTERM)
+    until(lambda: running.poll() is not None)
+    assert running.returncode == 0 and time.monotonic() - began < 0.7
+    assert "Traceback" not in (tmp_path / "log").read_text()
+    if sender:
+        sender.kill()
+        sender.wait()
+    relay.stop()
+    agent.server.stop(0)
