--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,44 @@
-"""The closing line that the project's CI reads."""
+"""What is known to be red (`KNOWN-RED.txt` at the root), and the closing line that the project's CI reads."""
+
+import pytest
+
+RED_MOST = 3
+
+
+def known_red(root):
+    """By test, its cause and its issue; raises where the file is not as it has to be."""
+    file, found = root / "KNOWN-RED.txt", {}
+    for number, line in enumerate(file.read_text().splitlines() if file.exists() else (), 1):
+        if not line.strip() or line.startswith("#"):
+            continue
+        parts = [part.strip() for part in line.split(" | ")]
+        if len(parts) != 3 or not all(parts) or parts[0] in found:
+            raise pytest.UsageError(f"KNOWN-RED.txt:{number}: expected TEST | CAUSE | ISSUE, each test once")
+        found[parts[0]] = parts[1:]
+    if len(found) > RED_MOST:
+        raise pytest.UsageError(f"KNOWN-RED.txt: {len(found)} tests, {RED_MOST} at the most")
+    return found
+
+
+def pytest_collection_modifyitems(config, items):
+    red = known_red(config.rootpath)
+    for item in items:
+        if any(item.iter_markers("xfail")):
+            raise pytest.UsageError(f"{item.nodeid}: what is known to fail is named in KNOWN-RED.txt, not marked")
+        if item.nodeid in red:
+            # Strict: one that passes fails the run, and its line goes.
+            item.add_marker(pytest.mark.xfail(strict=True, reason=" | ".join(red[item.nodeid])))
+    files = {item.nodeid.partition("::")[0] for item in items}
+    named = {item.nodeid for item in items}
+    asked_for_parts = any("::" in argument for argument in config.args) or config.option.keyword
+    if missing := [test for test in red if test.partition("::")[0] in files and test not in named]:
+        if not asked_for_parts:
+            raise pytest.UsageError(f"KNOWN-RED.txt: there is no test {missing[0]}")
+
+
+def pytest_terminal_summary(terminalreporter):
+    for report in terminalreporter.stats.get("xfailed", ()):
+        terminalreporter.write_line(f"known red: {report.nodeid} | {report.wasxfail}")
 
 
 def pytest_unconfigure(config):
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -171,8 +171,6 @@
     assert max(at - ordered for ordered, at, *_ in calm.messages) < 10_000
 
 
-@pytest.mark.xfail(strict=True, reason="a name that joins anew is a proxy of its own to the decisions: each of its "
-                   "sessions is written a binding, and their messages are not counted together")  # fmt: skip
 def test_a_name_that_joins_anew_in_a_loop_is_written_no_more_messages_than_one_proxy_may_be():
     stepped = Stepped(hosts=12, service={"message_limit": 12})
     peer = stepped.peer()
