--- a/ironfall/agreed.py
+++ b/ironfall/agreed.py
@@ -22,7 +22,8 @@
         raise NotImplementedError("this site has slices (KeyRanges > 0), which ironfall does not serve yet")
     classes = tuple(
         ExchangeClass(
-            expected_time=tenths(c["Aim"]),
+            # An aim of nought grows with the work alone (AimStretch), and never past the deadline.
+            expected_time=tenths(c["Aim"]) or tenths(c["Deadline"]) or 1,
             abandon_time=tenths(c["Deadline"]),
             earnings=c.get("Worth", 1.0),
             repeatable=REPEATABLE.get(c.get("Effect", ""), "never"),
--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -641,8 +641,8 @@
         slow = sum(h.recent.value * h.recent.mass for h in inside) / mass
         # Strain is the wait beside the best answer time, as a part of the time left.
         self.least = min(slow or self.expected / 2, 1.005 * self.least)
-        late = max(0.0, slow - self.least)
-        self.strain = strain = self._waiting(now, inside, late) / (0.35 * (self.expected - self.least))
+        late, left = max(0.0, slow - self.least), max(self.expected - self.least, self.expected / 4)
+        self.strain = strain = self._waiting(now, inside, late) / (0.35 * left)
         self.asked, work = sum(g.asked for g in self.grades), sum(g.asked * g.work for g in self.grades)
         self.expected = work / self.asked if self.asked > 1 else self.expected
         # Reports are late and a cut goes on after it helped: not far below what was fulfilled not long ago.
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,219 @@
+"""One customer's settings at another: nothing is kept beside an instance, no name means anything, and what the settings
+leave out means what the page says."""
+
+import copy
+import json
+import random
+import struct
+from dataclasses import replace
+
+import pytest
+
+from ironfall.agreed import read_service
+from ironfall.drill.wire import ACTION, ATTACHED, ENTRY, EVENT, INTAKE, LISTED, OBSERVED, REPLY, Bench
+from ironfall.interface import ExchangeClass
+from ironfall.platform.program import Platform
+from ironfall.platform.start import read
+from tests.platform_rig import SETTINGS, Quiet
+
+OTHER = {
+    "Dcs": ["east", "north", "west"],
+    "RequestClasses": [{"Name": "deed", "Aim": 300.0, "Deadline": 900.0, "Worth": 9.0, "Effect": "side_effect"},
+                       {"Name": "browse", "Aim": 90.0, "Deadline": 300.0, "Worth": 1.0, "Effect": "pure"},
+                       {"Name": "hold", "Aim": 200.0, "Deadline": 700.0, "Worth": 2.0, "Effect": "token",
+                        "KeyScope": "all", "KeyTtl": 6000.0}],
+    "Contract": {"StopSendingWithin": 1500.0, "Cold": 4000.0, "StartCapacity": 0.2},
+    "FamilyInfo": {"ProxyCount": 9, "QueueCap": 900.0, "Overhead": 3.0, "MessagesMost": 0, "UpdateWindow": 5000.0,
+                   "Bare": 5000.0, "TransitMax": 200.0, "ReportEvery": 2000.0, "ThrottleBy": "silent",
+                   "LinesPerS": 1200.0},
+    "Prices": {"CrossZone": 0.12}, "Report": {"Columns": []}, "MembershipMode": "pushed",
+}  # fmt: skip
+
+
+class Served:
+    """A director on the platform without its sockets: what it is told, by its own clock, and what it would send."""
+
+    def __init__(self, tmp_path, settings, seed="8c1f", hosts=8):
+        path = tmp_path / f"{len(list(tmp_path.iterdir()))}.json"
+        path.write_text(json.dumps({"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": seed,
+                                    "relay": {"address": "127.0.0.1:3"}, "settings": settings}))  # fmt: skip
+        self.at, self.sent, self.chance = 100.0, [], random.Random(seed)
+        self.settings, self.proxies = settings, min(6, settings["FamilyInfo"]["ProxyCount"])
+        self.hosts = [f"s-{n:02}" for n in range(hosts)]
+        self.program = Platform(read({"RELAY_CONFIG": str(path)}), Quiet(), lambda: self.at)
+        self.program.turns.begin()
+        self.step = 0
+
+    def tenth(self):
+        """A tenth of a second of a day that is the same for all, but for names."""
+        it, n = self.program, self.step
+        zones, classes = self.settings["Dcs"], [c["Name"] for c in self.settings["RequestClasses"]]
+        self.step, self.at = n + 1, self.at + 0.1
+        if n == 5 or n in (200, 260):
+            gone = {260: self.hosts[:1]}.get(n, [])
+            rows = [{"id": h, "locality": zones[k % len(zones)], "size": 1.0, "up_since_ms": 0,
+                     "phase": "leaving" if n >= 200 and k < 2 else "active"}
+                    for k, h in enumerate(self.hosts) if h not in gone]  # fmt: skip
+            entries, whole = it.watch.listing({"revision": n, "complete": True, "members": rows})
+            it.turns.put("listed", entries, whole, True)
+        if n in (10, 240):
+            for proxy in range(self.proxies):
+                it.joined(proxy, proxy % len(zones), 20.0)
+                it.streams.standing.add(proxy)
+        for k, host in enumerate(self.hosts if n % 10 == 3 and n > 20 else ()):
+            failed = 9 if k == 3 and n > 100 else self.chance.randrange(2)
+            rtt, queue = 80 + 10 * k + self.chance.randrange(20), 4 + (60 if 120 < n < 180 else 0)
+            self.line(f"upstream_stats locality={zones[k % len(zones)]} endpoint={host} total=12 errors={failed} "
+                      f"rtt={rtt} interval=1000 metrics=queue:{queue}")  # fmt: skip
+        for proxy in range(self.proxies if n % 10 == 4 else 0):
+            for name in classes:
+                self.line(f"client_stats node={proxy} route={name} total=30 errors=1 interval=1000")
+        it.turns.step()
+        while orders := it.outbox.take():
+            self.sent.append([json.loads(order) for order in orders])
+            nonce = it.outbox.nonce_out
+            it.outbox.done(len(orders))
+            for proxy in range(self.proxies if nonce >= 0 else 0):
+                it.applied(proxy, nonce, 1.0)
+
+    def line(self, text):
+        self.program.entry._line(None, text.encode())
+
+    def day(self):
+        while self.step < 400:
+            self.tenth()
+        return self.sent
+
+
+@pytest.mark.parametrize("first, second", [(SETTINGS, OTHER), (OTHER, SETTINGS)])
+def test_two_directors_side_by_side_give_what_each_gives_alone(tmp_path, first, second):
+    alone = [Served(tmp_path, first).day(), Served(tmp_path, second, "77").day()]
+    one, other = Served(tmp_path, first), Served(tmp_path, second, "77")
+    while one.step < 400:
+        one.tenth()
+        other.tenth()
+    assert json.dumps([one.sent, other.sent]) == json.dumps(alone)
+    assert all(sum(map(len, sent)) > 40 for sent in alone)
+
+
+@pytest.mark.parametrize("settings", [SETTINGS, OTHER])
+def test_other_names_that_sort_alike_give_the_same_orders_under_those_names(tmp_path, settings):
+    usual, renamed = Served(tmp_path, settings), copy.deepcopy(settings)
+    renamed["Dcs"] = [f"zone-{n}" for n in range(len(settings["Dcs"]))]
+    for n, kind in enumerate(renamed["RequestClasses"]):
+        kind["Name"] = f"class-{n}"
+    other = Served(tmp_path, renamed)
+    other.hosts = [f"host-{n:02}.other" for n in range(len(other.hosts))]
+    names = dict(zip(other.hosts, usual.hosts, strict=True))
+    names |= {f"class-{n}": kind["Name"] for n, kind in enumerate(settings["RequestClasses"])}
+
+    def back(order):
+        order = {**order, "endpoint": names[order["endpoint"]]} if "endpoint" in order else order
+        return {**order, "routes": [names[r] for r in order["routes"]]} if "routes" in order else order
+
+    assert [[back(order) for order in call] for call in other.day()] == usual.day()
+
+
+# the drill, many instances in one process
+
+
+def record(form, *fields):
+    return struct.pack(form, *fields).ljust(EVENT, b"\0")
+
+
+def frame(bench, number, events):
+    """`events`: by instance, its records, each made when it is known where its part of the tail begins, and that part;
+    the reply's records by instance."""
+    body, tail = b"", b""
+    for records, more in events.values():
+        body += b"".join(make(len(tail)) for make in records)
+        tail += more
+    reply = bench.play(number, 1000.0 * number, len(body) // EVENT, body + tail)
+    count, found = REPLY.unpack_from(reply)[1], {}
+    for at in range(REPLY.size, REPLY.size + ACTION * count, ACTION):
+        found.setdefault(int.from_bytes(reply[at + 1 : at + 3], "big"), []).append(reply[at : at + ACTION])
+    return found
+
+
+def happenings(it, settings, number, chance):
+    def host(n):
+        return struct.pack(">IH", 0x0A000000 + n, 8000)
+
+    if number == 1:
+        told = json.dumps(settings).encode()
+        return [lambda at: record(">BHQII", 29, it, it, at, len(told))], told
+    zones, classes = len(settings["Dcs"]), len(settings["RequestClasses"])
+    if number in (2, 12):
+        entries = b"".join(LISTED.pack(host(n), n % zones, 0, 0, 2 if number == 12 and n < 2 else 1, 1.0, 0.0)
+                           for n in range(6))  # fmt: skip
+        return [lambda at: record(">BBII", 19, it, at, len(entries) // ENTRY),
+                lambda _: record(">BHBQB", 21, it, 3, number, it)], entries  # fmt: skip
+    made = [record(">BHI", 25, it, 0)]
+    if number == 3:
+        made += [record(">BH", 20, it)[:3] + ATTACHED.pack(p, p % zones, 9.0, 0) for p in range(4)]
+    for n in range(6):
+        about = (n % zones, host(n), 10, chance.randrange(8), 90.0, 1000.0, 0, 0.0, 0.0, 0.0, 0.0)
+        made.append(record(">BH", 18, it)[:3] + OBSERVED.pack(*about))
+    made += [record(">BH", 24, it)[:3] + INTAKE.pack(30, 2, p, k, 1000.0) for p in range(4) for k in range(classes)]
+    return [lambda _, one=one: one.ljust(EVENT, b"\0") for one in made], b""
+
+
+def test_instances_of_the_drill_with_other_settings_give_what_each_gives_alone():
+    def played(which):
+        bench, chances, found = Bench(), {i: random.Random(i) for i in which}, {i: [] for i in which}
+        for number in range(1, 60):
+            events = {i: happenings(i, which[i], number, chances[i]) for i in which}
+            reply = frame(bench, number, events)
+            for i in which:
+                found[i] += reply.get(i, [])
+        return found
+
+    both = {1: SETTINGS, 2: OTHER, 3: SETTINGS}
+    together = played(both)
+    for i, settings in both.items():
+        assert together[i] == played({i: settings})[i] and len(together[i]) > 60
+
+
+# what is left out
+
+
+def least(**more):
+    return {"Dcs": ["a"], "RequestClasses": [{"Name": "x", "Aim": 100.0, "Deadline": 300.0}], **more}
+
+
+def test_settings_that_are_left_out_mean_what_the_page_says():
+    terms = read_service(least(FamilyInfo={"ProxyCount": 3}))
+    assert terms.message_limit == 0 and not terms.admits and not terms.may_probe and not terms.ask_for_list
+    assert terms.gauges == () and terms.crossing_price == 0.0 and terms.lines_each_second == 0.0
+    assert terms.cold_time == 0 and terms.classes[0] == ExchangeClass(1000, 3000, 1.0, "never", "", 0)
+    assert read_service(least(Report={"Columns": None})).gauges == ()
+    assert read_service(least(FamilyInfo={"ThrottleBy": "per_second"})).admits is False
+    assert read_service(least(Contract={"AskWithin": 5.0}, New={"key": 1})).drain_grace == 10_000
+
+
+def test_a_class_with_no_expected_time_of_its_own_starts_a_director(tmp_path):
+    # Its aim may grow with the work alone; earnings by work were divided by nought, and the director did not start.
+    settings = copy.deepcopy(SETTINGS)
+    settings["RequestClasses"][0] |= {"Aim": 0.0, "AimStretch": 4.0}
+    assert sum(map(len, Served(tmp_path, settings).day())) > 40
+
+
+def test_where_hosts_take_longer_than_the_expected_time_strain_is_no_less_for_it(tmp_path):
+    # What an answer takes at best was past the expected time of tight classes: the time left was below nought, and
+    # strain with it, so that a jam let in more.
+    settings = copy.deepcopy(OTHER)
+    settings["Report"]["Columns"] = ["q"]
+    it = Served(tmp_path, settings)
+    it.day()
+    decisions = it.program.turns.decisions
+    decisions.least = decisions.expected * 1.5
+    for host in decisions.hosts.values():
+        host.recent.value, host.recent.mass = decisions.expected * 4, 20.0
+        host.held, host.gauged, host.flow = 500.0, decisions.started + 400_000, 10.0
+    decisions._ration(decisions.started + 400_000)
+    assert decisions.strain > 1
+
+
+def test_nothing_in_the_terms_is_a_figure_of_one_site():
+    alike = read_service({**SETTINGS, "FamilyInfo": {**SETTINGS["FamilyInfo"], "LinesPerS": 900.0}})
+    assert replace(alike, lines_each_second=0.0) == read_service(SETTINGS)
