Give classes that keep to the proxy's zone tables of that zone's hosts alone

Change: HomeOnly is read; such a class has tables of its own, as a class that fails alone has, with its zone's hosts only. Evidence never empties what a proxy of a zone needs: as for a part with nothing left, all ready hosts of that part and zone come back; a proxy whose zone has no host at all is bound to an empty table, so that it does not go on by what it came with; parts reckon with the further lines of a binding.

--- a/ironfall/agreed.py
+++ b/ironfall/agreed.py
@@ -20,6 +20,7 @@
     prices = top.get("Prices", {})
     if info.get("KeyRanges", 0):
         raise NotImplementedError("this site has slices (KeyRanges > 0), which ironfall does not serve yet")
+    homes = [*info.get("HomeOnly", ()), *[False] * len(top["RequestClasses"])]
     classes = tuple(
         ExchangeClass(
             # An aim of nought grows with the work alone (AimStretch), and never past the deadline.
@@ -29,8 +30,9 @@
             repeatable=REPEATABLE.get(c.get("Effect", ""), "never"),
             key_scope=c.get("KeyScope", ""),
             key_life=tenths(c.get("KeyTtl", 0)),
+            home=bool(home),
             )
-        for c in top["RequestClasses"]
+        for c, home in zip(top["RequestClasses"], homes, strict=False)
     )
     report = top.get("Report", {})
     return ServiceTerms(
--- a/ironfall/interface.py
+++ b/ironfall/interface.py
@@ -25,6 +25,7 @@
     repeatable: str  # "always", "keyed" or "never"
     key_scope: str
     key_life: int
+    home: bool = False  # it may go to hosts of the proxy's own zone alone
 
 
 @dataclass(frozen=True)
--- a/ironfall/logic.py
+++ b/ironfall/logic.py
@@ -96,9 +96,9 @@
     worth: float  # earnings per work, for which the expected time stands
     work: float
     tries: int  # the most ways of trying again that cannot take effect twice
+    home: bool  # it may go to hosts of the proxy's own zone alone
     asked: float = 0.0  # a second
     failing: Mean = field(default_factory=Mean)
-    apart: int = 0  # until when it has tables of its own
     level: float = 1.0
     way: int = 1
 
@@ -126,7 +126,8 @@
         # So many hosts a part has: a zone's are what its table holds if all proxies are bound in half of the
         # grace, the rest being for drains, but fewer than a message's head would save little.
         each = min(0.95 * self.queue, 0.5 * pace * terms.drain_grace / SECOND) / self.everyone
-        most = max(self.head, each - self.head - 2 - len(terms.classes))
+        self.homes = sum(c.home for c in terms.classes)  # each has tables of its own
+        most = max(self.head, (each - self.head - 2 - len(terms.classes)) / (1 + self.homes))
         self.names = math.inf if terms.told_all else self.zones * most
         # The fleet's parts have tables of their own. By zone and part: ready hosts, usual exchanges a second.
         self.parts, self.able, self.told_all = 1, Counter[tuple[int, int]](), terms.told_all
@@ -153,7 +154,7 @@
         # A second try after any failure only where it cannot take effect twice.
         lasts = c.key_scope == "all" and c.key_life >= c.abandon_time + terms.slowest_message
         again = c.repeatable == "always" or (c.repeatable == "keyed" and lasts)
-        return Grade(c.earnings / c.expected_time, float(c.expected_time), 1 + again)
+        return Grade(c.earnings / c.expected_time, float(c.expected_time), 1 + again, c.home)
 
     def listed(self, now: int, entries: Iterable[Listing], whole: bool, fresh: bool) -> None:
         """The list, whole or its changes; not fresh: as it was kept over the start."""
@@ -217,8 +218,11 @@
             self._withdraw(now, host, used)
         self.draining = (max(each * self.head, self._room(now, 0.95)) + each) * (len(gone) > fits)
         # Evidence never empties the tables: with nothing left, all ready hosts come back.
-        for part in (n for n, inside in enumerate(self._by_part()) if not inside):
-            self._return(now, [h for h in self.hosts.values() if h.ready and h.part == part])
+        held = {self._place(h) for h in self._inside()}
+        self._return(now, [h for h in self.hosts.values() if h.ready and self._place(h) not in held])
+
+    def _place(self, it: Host | Proxy) -> tuple[int, int]:  # where a proxy needs a host
+        return it.part, it.zone if self.homes else 0
 
     def _withdraw(self, now: int, host: Host, used: dict[int, list[int]] | None = None) -> None:
         self.book.pay(now, self._holders(host, used or self._users()))
@@ -297,15 +301,15 @@
         # The traffic is their own word: who has waited for long goes before those who come again and again.
         due = {n for n, p in self.proxies.items() if min(p.tables) < 0 and now - p.joined > self.hold}
         inside, self.joiners, short = self._by_part(), 1.0, False
+        held, own = {self._place(h) for h in self._inside()}, self._own(now)
         outs = Counter(h.part for h in self.hosts.values() if h.out)
         for number, it in sorted(
             self.proxies.items(), key=lambda pair: (not pair[1].strayed, pair[0] not in due, -pair[1].rate)
         ):
-            if not inside[it.part] and any(inside):
+            if self._place(it) not in held and any(zone == self._place(it)[1] for _, zone in held):
                 self.dealt[it.zone, it.part] -= it.usual
                 self._deal(it)
-            first = it.part * self.each + it.zone
-            wanted = [first + self.zones * (1 + k) * (now < g.apart) for k, g in enumerate(self.grades)]
+            wanted = [it.part * self.each + it.zone + self.zones * kind for kind in own]
             # Whoever strays without end takes neither the others' channel nor more messages than it may get.
             anew = it.strayed and now - it.resent >= self.span
             if (wanted == it.tables and not anew) or not (self.known or now - it.joined >= self.hold):
@@ -320,7 +324,7 @@
             for table in dict.fromkeys(wanted):
                 kinds = [k for k, t in enumerate(wanted) if t == table != it.tables[k]]
                 lines = sum(h.lines[table] > 0 for h in hosts)
-                if not kinds or not lines:
+                if not kinds or not lines and (not held or self._place(it) in held):
                     continue
                 if not anew and self._room(now, 0.5, (number,)) < self.head + more + lines:
                     short = True
@@ -382,10 +386,9 @@
         it = self.hosts.get(host)
         if it and now - age > it.gauged:
             # A host that takes all and answers nothing may well be called idle: what its proxies met stands.
-            failing = it.mute or any(m.mass >= 3 and m.value > 0.5 for m in it.failing)
-            held = it.held
+            held = it.held * (it.mute or any(m.mass >= 3 and m.value > 0.5 for m in it.failing))
             it.gauge(now - age, gauge)
-            it.held = max(held, it.held) if failing else it.held
+            it.held = max(held, it.held)
 
     def held_between(self, host: bytes, floor: float, cap: float) -> None:
         """What its operators hold its learnt weight between; the same twice is a weight fixed by hand."""
@@ -395,16 +398,13 @@
 
     def kept_from(self, now: int, host: bytes, kinds: int) -> None:
         """Classes that its operators keep off a host, as a mask: they get tables of their own, without it."""
-        it = self.hosts.get(host)
-        if it is None:
-            return
-        for kind, grade in enumerate(self.grades):
-            if kinds >> kind & 1:
-                it.barred[kind] = grade.apart = NEVER
-            elif it.barred[kind] == NEVER:
-                it.barred[kind] = 0
-                kept = any(h.barred[kind] == NEVER for h in self.hosts.values())
-                grade.apart = NEVER if kept else now + BAR
+        if it := self.hosts.get(host):
+            for kind, until in enumerate(it.barred):
+                it.barred[kind] = NEVER if kinds >> kind & 1 else now if until == NEVER else until
+
+    def _own(self, now: int) -> list[int]:  # by class, 0 for the tables of all or the number of its own
+        until = [max((h.barred[k] for h in self.hosts.values()), default=0) for k in range(len(self.grades))]
+        return [(1 + k) * (g.home or 0 < until[k] > now - BAR) for k, g in enumerate(self.grades)]
 
     def woken(self, now: int, token: int) -> None:
         if token:
@@ -480,7 +480,7 @@
                 failing = bad[host.id] > max(0.35 * self.grades[sick].asked / (self.asked or 1.0), 2 * usual)
                 if failing and calm and tries[host.id] >= 8 and left > 0.3 * capacity:
                     self._forget(now, host)
-                    host.barred[sick], self.grades[sick].apart = now + BAR, now + 2 * BAR
+                    host.barred[sick] = now + BAR
                 continue
             # Late reports or a director's standstill are nobody's silence: the newest of all is the clock.
             overdue = (self.reported - host.answered - 1.5 * self.spacing) / SECOND
@@ -561,22 +561,23 @@
         late = math.exp(-self.expected / took.value) if took.value else 0.0
         return failing.good() * (1 - late * took.mass / (took.mass + 1))
 
-    def _streams(self, now: int, part: int) -> list[tuple[int, int, float]]:
-        """What comes to each of a part's tables in use: table, zone and work a second."""
+    def _streams(self, now: int, part: int) -> list[tuple[int, int, float, bool]]:
+        """What comes to each of a part's tables in use: table, zone, work a second, if home alone."""
         works = [g.asked * g.work / (self.asked * self.expected or 1.0) for g in self.grades]
-        apart = [k for k, g in enumerate(self.grades) if now < g.apart]
-        kinds = [(0, 1 - sum(works[k] for k in apart)), *((1 + k, works[k]) for k in apart)]
+        apart = [kind - 1 for kind in self._own(now) if kind]
+        kinds = [(0, 1 - sum(works[k] for k in apart), False)]
+        kinds += [(1 + k, works[k], self.grades[k].home) for k in apart]
         mine = [p for p in self.proxies.values() if p.part == part]
         asked = [sum(p.rate for p in mine if p.zone == z) for z in range(self.zones)]
-        tables = [(part * self.each + self.zones * n, share) for n, share in kinds]
-        return [(table + z, z, share * a) for table, share in tables for z, a in enumerate(asked)]
+        tables = [(part * self.each + self.zones * n, share, home) for n, share, home in kinds]
+        return [(table + z, z, share * a, home) for table, share, home in tables for z, a in enumerate(asked)]
 
     def _spread(self, now: int, inside: list[Host], part: int) -> list[tuple[int, list[float]]]:
         """The tables: each host at its strength, home first, and none brought more than its zone's room."""
         strength = [self._strength(now, h) for h in inside]
         streams, rows, rooms = self._streams(now, part), [], []
         pairs = list(zip(strength, inside, strict=True))
-        for table, zone, _ in streams:
+        for table, zone, _, home in streams:
             # Staying home is worth the crossing saved and what the way out loses, while home is not strained.
             values = [self._worth(zone, y) for y in range(self.zones)]
             best = max((v for y, v in enumerate(values) if y != zone), default=0.0) or 1.0
@@ -584,30 +585,31 @@
             rooms.append(1.02 + room)
             ways = [1.0 if y == zone else THIN * (v / best) ** 3 for y, v in enumerate(values)]
             ways = [0.0 if (zone, y) in self.cuts else way for y, way in enumerate(ways)]
+            reach = [s * (h.zone == zone or not home) for s, h in pairs]
             # What it fails now it will go on failing: a part of its line, for failures that come and go.
-            row = [s * ways[h.zone] * h.failing[zone].good() ** 2 for s, h in pairs]
+            row = [s * ways[h.zone] * h.failing[zone].good() ** 2 for s, h in zip(reach, inside, strict=True)]
             if kind := table % self.each // self.zones:
                 row = [0.0 if h.barred[kind - 1] > now else w for w, h in zip(row, inside, strict=True)]
-            rows.append(row if any(row) else list(strength))
-        even = sum(d for _, _, d in streams) / (sum(strength) or 1.0) or 1.0
+            rows.append(row if any(row) else reach)
+        even = sum(d for _, _, d, _ in streams) / (sum(strength) or 1.0) or 1.0
         for _ in range(12):
             load = [0.0] * len(inside)
-            for (_, _, demand), row in zip(streams, rows, strict=True):
+            for (_, _, demand, _), row in zip(streams, rows, strict=True):
                 each = demand / (sum(row) or 1.0) / even
                 load = [x + each * w for x, w in zip(load, row, strict=True)]
             over = [x / s if s else 0.0 for x, s in zip(load, strength, strict=True)]
             for n, room in enumerate(rooms):
                 rows[n] = [w * room / x if x > room else w for w, x in zip(rows[n], over, strict=True)]
-        for (_, zone, _), row in zip(streams, rows, strict=True):
+        for (_, zone, _, home), row in zip(streams, rows, strict=True):
             # None leans on a cold host, nor names one to carry little: that costs connections and lines.
             whole = sum(row) / (sum(strength) or 1.0)
             for n, (s, h) in enumerate(pairs):
                 row[n] = min(row[n], s * whole) if self._warm(now, h) < 1 else row[n]
                 row[n] *= row[n] >= 0.2 * s * whole
-            away = [n for n, (_, h) in enumerate(pairs) if (zone, h.zone) in self.cuts]
+            away = [n for n, (_, h) in enumerate(pairs) if (zone, h.zone) in self.cuts and not home]
             for n in sorted(away, key=lambda n: -inside[n].share)[:FEELERS]:
                 row[n] = FEEL * sum(row)
-        return [(table, row) for (table, _, _), row in zip(streams, rows, strict=True)]
+        return [(table, row) for (table, *_), row in zip(streams, rows, strict=True)]
 
     def _lay(self, now: int, must: bool, back: Sequence[Host] = ()) -> None:
         """Send what has moved, the largest moves first, as far as the channel holds it."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -39,6 +39,7 @@
                                     "relay": {"address": "127.0.0.1:3"}, "settings": settings}))  # fmt: skip
         self.at, self.sent, self.chance = 100.0, [], random.Random(seed)
         self.settings, self.proxies = settings, min(6, settings["FamilyInfo"]["ProxyCount"])
+        self.fails = lambda step, k: 9 if k == 3 and step > 100 else self.chance.randrange(2)
         self.hosts = [f"s-{n:02}" for n in range(hosts)]
         self.program = Platform(read({"RELAY_CONFIG": str(path)}), Quiet(), lambda: self.at)
         self.program.turns.begin()
@@ -61,7 +62,7 @@
                 it.joined(proxy, proxy % len(zones), 20.0)
                 it.streams.standing.add(proxy)
         for k, host in enumerate(self.hosts if n % 10 == 3 and n > 20 else ()):
-            failed = 9 if k == 3 and n > 100 else self.chance.randrange(2)
+            failed = self.fails(n, k)
             rtt, queue = 80 + 10 * k + self.chance.randrange(20), 4 + (60 if 120 < n < 180 else 0)
             self.line(f"upstream_stats locality={zones[k % len(zones)]} endpoint={host} total=12 errors={failed} "
                       f"rtt={rtt} interval=1000 metrics=queue:{queue}")  # fmt: skip
@@ -114,6 +115,85 @@
     assert [[back(order) for order in call] for call in other.day()] == usual.day()
 
 
+class Standing:
+    """What proxies hold by the orders sent: lines of tables, hosts that are out, the tables of each proxy's classes."""
+
+    def __init__(self, it):
+        self.it, self.lines, self.out, self.tables, self.read = it, {}, set(), {}, 0
+
+    def look(self):
+        names = [kind["Name"] for kind in self.it.settings["RequestClasses"]]
+        for call in self.it.sent[self.read :]:
+            for order in call:
+                if order["verb"] == "SET":
+                    self.lines[order["cluster"], order["endpoint"]] = order["w"]
+                elif order["verb"] in ("OUT", "IN"):
+                    (self.out.add if order["verb"] == "OUT" else self.out.discard)(order["endpoint"])
+                elif order["verb"] == "USE":
+                    self.tables |= {(order["node"], name): order["cluster"] for name in order.get("routes", names)}
+        self.read = len(self.it.sent)
+
+    def zones(self, proxy, name):
+        """Of the hosts that a proxy may pick for a class; none where it was not bound for it."""
+        count, table = len(self.it.settings["Dcs"]), self.tables.get((proxy, name))
+        return {self.it.hosts.index(host) % count for (t, host), w in self.lines.items()
+                if t == table and w and host not in self.out}  # fmt: skip
+
+
+def home_only(settings, *names):
+    settings = copy.deepcopy(settings)
+    settings["FamilyInfo"]["HomeOnly"] = [kind["Name"] in names for kind in settings["RequestClasses"]]
+    return settings
+
+
+@pytest.mark.parametrize("settings, name", [(SETTINGS, "order"), (SETTINGS, "lookup"), (OTHER, "deed")])
+def test_a_class_that_keeps_to_the_proxys_zone_is_never_named_a_host_of_another(tmp_path, settings, name):
+    # The rule on places: its requests went wherever the tables of all classes led.
+    it = Served(tmp_path, home_only(settings, name))
+    standing, others = Standing(it), set()
+    while it.step < 400:
+        it.tenth()
+        standing.look()
+        for proxy in range(it.proxies):
+            assert standing.zones(proxy, name) <= {proxy % len(settings["Dcs"])}
+            names = [kind["Name"] for kind in settings["RequestClasses"]]
+            others |= {one for one in names if len(standing.zones(proxy, one)) > 1}
+    assert all(standing.zones(proxy, name) for proxy in range(it.proxies))
+    assert others == {kind["Name"] for kind in settings["RequestClasses"]} - {name}
+
+
+def test_evidence_never_leaves_a_class_that_keeps_to_its_zone_without_a_host_for_long(tmp_path):
+    it = Served(tmp_path, home_only(SETTINGS, "order"), hosts=9)
+    it.fails = lambda step, k: 12 if k % 2 and step > 100 else 0  # all of the second zone, fewer than half of the fleet
+    standing, bare, longest = Standing(it), dict.fromkeys(range(it.proxies), 0), 0
+    while it.step < 400:
+        it.tenth()
+        standing.look()
+        for proxy in range(it.proxies):
+            bound = (proxy, "order") in standing.tables
+            bare[proxy] = bare[proxy] + 1 if bound and not standing.zones(proxy, "order") else 0
+            longest = max(longest, bare[proxy])
+    assert longest <= 10  # tenths of a second, of 20 allowed
+
+
+def test_who_joins_while_its_zone_has_no_host_does_not_go_on_by_what_it_came_with(tmp_path):
+    it = Served(tmp_path, home_only(SETTINGS, "order"))
+    while it.step < 100:
+        it.tenth()
+    entries, whole = it.program.watch.listing({"revision": 9, "complete": True, "members": [
+        {"id": h, "locality": "lagos", "size": 1.0, "up_since_ms": 0, "phase": "active"} for h in it.hosts[::2]]})
+    it.program.turns.put("listed", entries, whole, True)
+    for proxy in (1, 3):
+        it.program.joined(proxy, 1, 20.0)
+    joined, standing = len(it.sent), Standing(it)
+    while it.step < 180:
+        it.tenth()
+    standing.read = joined
+    standing.look()
+    assert (1, "order") in standing.tables and not standing.zones(1, "order")
+    assert standing.zones(1, "lookup") == {0}
+
+
 # the drill, many instances in one process
 
 
