--- a/ironfall/platform/news.py
+++ b/ironfall/platform/news.py
@@ -80,6 +80,7 @@
             feed.heard = self.streams.now()
             for line in whole:
                 self.take(feed, line)
+            gevent.sleep(0)  # what stands may be much: the others have their turn
             if feed.fresh:
                 continue
             self.settled.set()
--- a/ironfall/platform/program.py
+++ b/ironfall/platform/program.py
@@ -31,6 +31,7 @@
 EVENTS_MOST = 20_000  # waiting for a turn
 READY_TIME = 4.0  # seconds after which it serves by the list it was given, if neither list nor news came
 SUMMARY = 10 * SECOND
+RELOADS, RELOAD_WAIT = 7, 0.2  # tries and seconds: while the old addresses still answer, 1.5 s from the signal
 REFUSED = 1.0  # seconds until a binding that was refused is taken for lost, if the proxy still stands
 
 
@@ -113,12 +114,14 @@
         self.broken = True
         self.done.set()
 
-    def reload(self) -> None:
-        """A new configuration: whole or not at all."""
+    def reload(self, again: int = RELOADS) -> None:
+        """A new configuration: whole or not at all. One that can't be read may be half written: it is read again."""
         try:
             discovery, relay = start.reachable(start.read_file(self.assignment.path))
         except start.Senseless as wrong:
             self.log.error("the new configuration is not taken", cause=str(wrong))
+            if again > 1:
+                gevent.spawn_later(RELOAD_WAIT, self.reload, again - 1)
             return
         if discovery != self.watch.client.address:
             self.watch.moved(discovery)
--- a/tests/test_crossing_life.py
+++ b/tests/test_crossing_life.py
@@ -41,6 +41,16 @@
     until(lambda: rig.count("news broken") == 1 and len(rig.relay.feeds) == 2)
 
 
+def test_a_configuration_that_is_half_written_at_the_signal_is_taken_once_it_is_whole(rig):
+    whole, other = rig.path.read_text(), Agent()
+    rig.path.write_text(whole[: len(whole) // 2])
+    rig.program.reload()
+    assert rig.log.lines[-1][0] == "the new configuration is not taken"
+    rig.path.write_text(whole.replace("{}:{}".format(*rig.agent.address), "{}:{}".format(*other.address)))
+    until(lambda: other.asked, 2.0)
+    other.server.stop(0)
+
+
 def test_addresses_there_and_back_leave_two_feeds_and_no_more(rig):
     other = Relay()
     other.standing = {1: {**rig.relay.standing[1], "cold": False}}
@@ -53,14 +63,19 @@
     other.stop()
 
 
+def config(port, relay, agent):
+    return json.dumps({"name": "n0", "listen": f"127.0.0.1:{port}", "settings": SETTINGS,
+                       "discovery": "{}:{}".format(*agent.address),
+                       "relay": {"address": "{}:{}".format(*relay.address)}})  # fmt: skip
+
+
 def serve(tmp_path, relay, agent):
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
         port = free.getsockname()[1]
     path = tmp_path / "config.json"
-    path.write_text(json.dumps({"name": "n0", "listen": f"127.0.0.1:{port}", "settings": SETTINGS,
-                                "discovery": "{}:{}".format(*agent.address),
-                                "relay": {"address": "{}:{}".format(*relay.address)}}))  # fmt: skip
+    if not path.exists():
+        path.write_text(config(port, relay, agent))
     log = open(tmp_path / "log", "w")
     environment = {**os.environ, "RELAY_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
     running = subprocess.Popen([sys.executable, "-m", "ironfall", "serve"], env=environment, stderr=log)
@@ -105,3 +120,31 @@
         sender.wait()
     relay.stop()
     agent.server.stop(0)
+
+
+def test_sighup_while_the_configuration_is_read_ends_nobody_and_is_heard_once_the_program_stands(tmp_path):
+    relay, old, new = Relay(), Agent(), Agent()
+    path = tmp_path / "config.json"
+    os.mkfifo(path)  # the program stands at its opening until there is somebody who writes
+    running, port = serve(tmp_path, relay, old)
+    writer = []
+
+    def opened():
+        try:
+            writer.append(os.open(path, os.O_WRONLY | os.O_NONBLOCK))
+        except OSError:
+            return False
+        return True
+
+    until(opened)
+    running.send_signal(signal.SIGHUP)
+    (tmp_path / "next").write_text(config(port, relay, new))
+    os.rename(tmp_path / "next", path)
+    os.write(writer[0], config(port, relay, old).encode())
+    os.close(writer[0])
+    until(lambda: new.asked or running.poll() is not None)
+    assert running.poll() is None
+    running.send_signal(signal.SIGTERM)
+    until(lambda: running.poll() is not None)
+    for part in (relay, old.server, new.server):
+        part.stop()
--- a/tests/test_crossing_list.py
+++ b/tests/test_crossing_list.py
@@ -149,3 +149,14 @@
         began, before = time.monotonic(), len(agent.asked)
         until(lambda: time.monotonic() - began > 1.0)
         assert len(agent.asked) - before < 110
+
+
+def test_a_change_that_cannot_be_read_is_looked_for_in_the_whole_list(tmp_path):
+    gone = {**ROWS[1], "phase": "leaving"}
+
+    def later(path):
+        return http(2, complete=False) if "index" in path else http(2, ROWS[0], gone, *ROWS[2:])
+
+    agent = Raw(http(1, *ROWS), http(2, {**gone, "size": "x"}, complete=False), later)
+    with PlatformRig(tmp_path, agent=agent) as rig:
+        until(lambda: not rig.program.hosts.held[b"s-1"].listing.ready, watch.LATEST / 2)
