Send shorter calls on a slow way, and give a list that comes slowly more time

Seen by tests on real sockets: a relay that takes 120 KB a second was sent 50 KB in one call; the answer came after its 0.25 s each time, so that the call was uncertain and went again without end, each copy carried out (calls.py, _call). A list whose whole answer takes longer than 1.7 s was broken off and asked for again without end (watch.py, _ask), so that a director never left the list of its start. Ruled out: one late answer alone is a lost answer; nothing changes for it. Change: after two calls in a row that ran out of time the next are half as long, down to 4 KiB, and longer again with each that is answered; a call's bytes have a second to be sent. Where some of a list came by its time, the next try has twice the time, up to the 6 s by which the protocol counts all as told.

--- a/ironfall/api/http.py
+++ b/ironfall/api/http.py
@@ -283,6 +283,7 @@
     def __init__(self, address: tuple[str, int], connect_time: float = 1.0, answer_most: int = 1 << 26) -> None:
         self.address, self.connect_time, self.answer_most = address, connect_time, answer_most
         self.sock: socket.socket | None = None
+        self.came = 0  # bytes of the last answer, whole or not
 
     def call(self, method: str, path: str, seconds: float, body: bytes = b"",
              headers: dict[str, str] | None = None) -> Answer:  # fmt: skip
@@ -302,6 +303,7 @@
         lines = [f"{method} {path} HTTP/1.1", f"Host: {self.address[0]}:{self.address[1]}"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         lines += [f"Content-Length: {len(body)}", "", ""]
+        self.came = 0
         self.sock.settimeout(seconds)
         self.sock.sendall("\r\n".join(lines).encode("latin-1") + body)
         reading = _Reading(self.answer_most)
@@ -309,10 +311,10 @@
         with Timeout(seconds, TimeoutError("no answer in time")):
             while not reading.whole:
                 data = self.sock.recv(CHUNK)
-                most -= len(data)
+                self.came += len(data)
                 if not data:
                     raise ConnectionResetError("the connection was closed before the answer was whole")
-                if most < 0:
+                if self.came > most:
                     raise ConnectionAbortedError("the answer is over the limit")
                 try:
                     parser.feed_data(data)
--- a/ironfall/platform/calls.py
+++ b/ironfall/platform/calls.py
@@ -9,14 +9,16 @@
 from gevent.event import Event
 
 from ironfall.api.http import ended
-from ironfall.platform.outbox import Outbox
+from ironfall.platform.outbox import CALL_MOST, Outbox
 from ironfall.platform.sockets import Pauses, dial, read_by
 from ironfall.platform.start import Address
 
 DIAL_TIME = 0.4
+SEND_TIME = 1.0  # a call's bytes; what is not sent whole is not done
 ANSWER_TIME = 0.25  # from the call's last byte; the relay answers within 50 ms or never
 IDLE_MOST = 3.0  # the relay closes what stands idle for up to ten seconds; a new connection is no cost
 ANSWER_MOST = 64 * 1024
+SIZE_LEAST = 4 * 1024  # bytes of a call's orders where the way to the relay is slow
 WAIT_FIRST, WAIT_MOST = 0.03, 0.5  # between two tries, jittered
 TURNED_AWAY = ("too_many_calls", "bad_request")  # the errors by which nothing was done
 
@@ -42,6 +44,8 @@
         self.sock: Any = None
         self.used = 0.0
         self.dialled = address  # where the connection leads
+        # A way that takes the bytes slowly would be sent the same again and again, each time too late: shorter calls.
+        self.size, self.late = CALL_MOST, 0  # bytes of the next call's orders; calls in a row that ran out of time
         self.longest = 0.0  # of the calls since last asked
         self.bad: set[str] = set()  # kinds of orders that the relay refused, each logged once
 
@@ -49,7 +53,7 @@
         while True:
             self.stir.wait()
             self.stir.clear()
-            while orders := self.outbox.take():
+            while orders := self.outbox.take(self.size):
                 self._one(orders)
 
     def moved(self, address: Address) -> None:
@@ -71,11 +75,13 @@
             self.longest = max(self.longest, time.monotonic() - begun)
         except NotDone as cause:
             self.count(f"calls not done: {cause}")
+            self._late(str(cause) == "TimeoutError")
             self.outbox.undone()
             self.pauses.take()
             return
         except Uncertain as cause:
             self.count(f"calls uncertain: {cause}")
+            self._late(str(cause) == "no answer")
             self.close()
             # A confirmation of it shows that it was carried out; sent twice, it would fill the channel twice.
             if self.outbox.nonce_out >= 0 and self.proved.wait(self.proof_time):
@@ -87,6 +93,7 @@
                 self.pauses.take()  # a relay that cuts off each call at once may have carried out each
             return
         self.pauses.over()
+        self._late(False)
         if bad := self.outbox.done(done):
             (kind, *about), order = bad
             self.count("orders refused")
@@ -96,6 +103,14 @@
             if kind == "bind":
                 self.unbound(about[0])
 
+    def _late(self, late: bool) -> None:
+        """Once may be an answer that was lost; twice in a row is the way."""
+        self.late = self.late + 1 if late else 0
+        if self.late > 1:
+            self.size = max(SIZE_LEAST, self.size // 2)
+        elif not late:
+            self.size = min(CALL_MOST, self.size + SIZE_LEAST)
+
     def _call(self, orders: list[str]) -> int:
         """How many of the orders were taken."""
         self.number += 1
@@ -108,7 +123,7 @@
             if self.sock is None:
                 self.dialled = self.address
                 self.sock = dial(self.address, DIAL_TIME)
-            self.sock.settimeout(ANSWER_TIME)
+            self.sock.settimeout(SEND_TIME)
             self.sock.sendall(call)
         except OSError as cause:
             # The relay reads a call by its end: without its last byte it is none.
--- a/ironfall/platform/outbox.py
+++ b/ironfall/platform/outbox.py
@@ -73,8 +73,8 @@
 
     # what becomes of it
 
-    def take(self) -> list[str]:
-        """The orders of the next call, and from now on out; none where nothing waits."""
+    def take(self, most: int = CALL_MOST) -> list[str]:
+        """The orders of the next call, of so many bytes, and from now on out; none where nothing waits."""
         found: list[str] = []
         size = 0
         # One nonce stands for all before it: the channel keeps the order.
@@ -83,7 +83,7 @@
         self.out, self.sent, self.mark_out, self.nonce_out = {}, [], -1, -1
         for key, order in self.waiting.items():
             size += len(order) + 1
-            if size > CALL_MOST - len(mark) - 1:
+            if size > most - len(mark) - 1:
                 break
             found.append(order)
             self.sent.append(key)
--- a/ironfall/platform/watch.py
+++ b/ironfall/platform/watch.py
@@ -20,7 +20,7 @@
 from ironfall.platform.start import Address
 
 WAIT = 1.0  # seconds that the agent may hold a call
-SLACK = 0.7  # beyond that it is silent
+SLACK = 0.7  # beyond that it is silent, or its answer comes slowly: then it has twice the time, up to `LATEST`
 LIST_MOST = 8 << 20  # bytes
 DIAL_TIME = 0.5
 LATEST = 6.0  # seconds, agreed: whatever discovery has to tell counts as told by then
@@ -38,6 +38,7 @@
         self.version = -1  # of the newest list that was told here
         self.whole = False  # whether the agent has told all of it
         self.asked_whole = 0.0  # when it was last asked for it, monotonic seconds
+        self.slack = SLACK
         self.older_since: float | None = None  # that it has told older versions alone
         self.client = HttpClient(address, DIAL_TIME, self.most)
 
@@ -50,6 +51,8 @@
                 pauses.over()
                 failing = False
             except (OSError, BadList) as cause:
+                if isinstance(cause, TimeoutError):
+                    self.slack = min(LATEST, 2 * self.slack) if client.came else SLACK
                 client.close()
                 self.count("list failures")
                 if not failing and client is self.client:
@@ -68,7 +71,7 @@
         begun = time.monotonic()
         all_of_it = not self.whole or begun - self.asked_whole >= LATEST
         watch = "" if all_of_it else f"?index={self.version}&wait={WAIT * 1000:.0f}"
-        answer = client.call("GET", "/v1/servers" + watch, WAIT + SLACK)
+        answer = client.call("GET", "/v1/servers" + watch, WAIT + self.slack)
         if client is not self.client:
             client.close()  # it crossed a new configuration: the agent there is asked for all of it
             return
--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -65,7 +65,8 @@
 
 
 def test_a_part_of_what_is_too_long_for_one_call_is_proved_too(rig, monkeypatch):
-    monkeypatch.setattr("ironfall.platform.outbox.CALL_MOST", 130)
+    rig.program.calls.size = 130
+    monkeypatch.setattr(calls, "CALL_MOST", 130)
 
     def cut(sock, call):
         rig.relay.orders += call["params"]["orders"]
@@ -151,3 +152,34 @@
     rig.agent.set("s-2", "leaving")
     until(lambda: out("s-2") in rig.relay.orders and quiet(rig))
     assert not [what for what in rig.program.turns.counts if what.startswith(("orders refused", "calls uncertain"))]
+
+
+def test_a_slow_way_to_the_relay_is_sent_shorter_calls_until_they_are_answered(rig):
+    # The stand-in takes 120 KB a second: 50 KB in one call were always too late, and went again without end.
+    slow = Relay()
+    serve = slow._serve
+
+    class Slow:
+        def __init__(self, sock):
+            self.sock = sock
+
+        def makefile(self, _):
+            rest = b""
+            while data := self.sock.recv(1200):
+                gevent.sleep(0.01)
+                *lines, rest = (rest + data).split(b"\n")
+                yield from lines
+
+        def __getattr__(self, name):
+            return getattr(self.sock, name)
+
+    slow.server.set_handle(lambda sock, about: serve(Slow(sock), about))
+    rig.program.calls.moved(slow.address)
+    for n in range(900):
+        rig.program.outbox.line(70, b"s-%04d" % n, 1.0)
+    rig.program.mark(7)
+    rig.program.calls.stir.set()
+    until(lambda: quiet(rig))
+    assert {o["endpoint"] for o in slow.orders if o.get("cluster") == 70} == {f"s-{n:04}" for n in range(900)}
+    assert rig.program.calls.size < calls.CALL_MOST
+    slow.stop()
--- a/tests/test_crossing_list.py
+++ b/tests/test_crossing_list.py
@@ -5,6 +5,7 @@
 import json
 import time
 
+import gevent
 import pytest
 from gevent.event import Event
 from gevent.server import StreamServer
@@ -160,3 +161,19 @@
     agent = Raw(http(1, *ROWS), http(2, {**gone, "size": "x"}, complete=False), later)
     with PlatformRig(tmp_path, agent=agent) as rig:
         until(lambda: not rig.program.hosts.held[b"s-1"].listing.ready, watch.LATEST / 2)
+
+
+def test_a_list_that_comes_slowly_is_given_more_time_until_it_is_there(tmp_path, monkeypatch):
+    monkeypatch.setattr(watch, "WAIT", 0.2)
+    monkeypatch.setattr(watch, "SLACK", 0.1)
+
+    def slowly(path):
+        data = http(2, *ROWS[:2]) if "index" not in path else http(2, complete=False)
+        for at in range(0, len(data), 20):
+            gevent.sleep(0.02)  # the whole of it takes some half a second
+            yield data[at : at + 20]
+
+    agent = Raw(slowly)
+    with PlatformRig(tmp_path, agent=agent) as rig:
+        until(lambda: rig.program.watch.version == 2)
+        assert set(rig.program.hosts.held) == {b"s-0", b"s-1"}
