Draw the number of a director's first call anew at each start

Seen by reading (a restart with calls in flight): calls were counted from nought at each start, so that what confirms a call of the life before, on its way when the director went, named a call of the new one: it would have freed room in the channel that is not there, or proved a call that was not carried out. The test of bindings names the moment that a confirmation frees again, as numbers and marks differ now.

--- a/ironfall/platform/outbox.py
+++ b/ironfall/platform/outbox.py
@@ -14,7 +14,9 @@
 
 
 class Outbox:
-    def __init__(self, classes: tuple[str, ...]) -> None:
+    def __init__(self, classes: tuple[str, ...], first: int = 0) -> None:
+        """`first`: the number before that of the first call; drawn anew at each start, so that what confirms calls of
+        the life before confirms none of this."""
         self.classes = classes
         self.waiting: dict[Key, str] = {}
         self.out: dict[Key, str] = {}  # of the call that is out, as far as it is still wanted
@@ -24,7 +26,7 @@
         # Each call has a number of its own, under which proxies confirm it. By the mark of its turn, the confirmation
         # of a call that was not known to be carried out would speak for the next, which says its orders again and
         # newer ones with them.
-        self.nonce, self.nonce_out = 0, -1
+        self.nonce, self.nonce_out = first, -1
         self.marks: OrderedDict[int, int] = OrderedDict()  # by the numbers of calls
 
     # what is ordered
--- a/ironfall/platform/program.py
+++ b/ironfall/platform/program.py
@@ -23,7 +23,7 @@
 from ironfall.platform.lines import Reader
 from ironfall.platform.log import Log
 from ironfall.platform.news import News
-from ironfall.platform.outbox import Outbox
+from ironfall.platform.outbox import NONCES, Outbox
 from ironfall.platform.reports import Reports
 from ironfall.platform.streams import Streams
 from ironfall.platform.watch import Watch
@@ -43,7 +43,8 @@
         told, service = assignment, assignment.service
         self.assignment, self.log = assignment, log
         self.chance = random.Random(told.seed + 1)  # of jitter alone: the module's is its own
-        self.outbox, self.reports, self.hosts = Outbox(told.classes), Reports(), Hosts(told.zones)
+        self.outbox = Outbox(told.classes, self.chance.randrange(NONCES))
+        self.reports, self.hosts = Reports(), Hosts(told.zones)
         self.turns = Turns(service, told.seed, Clock(monotonic), Director, log, self, self.reports, EVENTS_MOST)
         count, now = self.turns.count, self.turns.clock.now
         self.streams = Streams(self, now)
--- a/tests/test_crossing_life.py
+++ b/tests/test_crossing_life.py
@@ -51,6 +51,21 @@
     other.server.stop(0)
 
 
+def test_what_confirms_a_call_of_the_life_before_confirms_none_of_this(rig, tmp_path):
+    # A number is one of 65,536: counted from nought at each start, the calls of two lives went by the same ones.
+    before = [order["nonce_out"] for order in rig.relay.orders if order["verb"] == "SYNC"]
+    (tmp_path / "next").mkdir()
+    with PlatformRig(tmp_path / "next", relay=rig.relay, seed="5") as after:
+        until(lambda: after.program.outbox.marks and quiet(after))
+        for nonce in before:
+            rig.relay.done(nonce)
+        assert not set(before) & set(after.program.outbox.marks)
+        until(lambda: set(before) <= set(after.program.streams.confirmed))
+        assert all(m.lines for m in after.program.turns.decisions.book.moments)
+        rig.relay.stop = lambda stop=rig.relay.stop: None
+    del rig.relay.stop
+
+
 def test_addresses_there_and_back_leave_two_feeds_and_no_more(rig):
     other = Relay()
     other.standing = {1: {**rig.relay.standing[1], "cold": False}}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -37,10 +37,11 @@
     use = next(order for order in rig.relay.orders if order["verb"] == "USE")
     lines = [o for o in rig.relay.orders if o["verb"] == "SET" and o["cluster"] == use["cluster"]]
     assert len(lines) == 3 and all(rig.relay.orders.index(line) < verbs.index("USE") for line in lines)
-    marks = [order["nonce_out"] for order in rig.relay.orders if order["verb"] == "SYNC"]
-    rig.relay.done(marks[-1])
-    book = rig.program.turns.decisions.book
-    until(lambda: not any(m.version == marks[-1] and len(m.lines) > 1 for m in book.moments))
+    nonce = [order["nonce_out"] for order in rig.relay.orders if order["verb"] == "SYNC"][-1]
+    book, mark = rig.program.turns.decisions.book, rig.program.outbox.marks[nonce]
+    assert any(m.version == mark and len(m.lines) == 2 for m in book.moments)
+    rig.relay.done(nonce)
+    until(lambda: not any(m.version == mark and m.lines for m in book.moments))
 
 
 def test_a_drain_goes_out_at_once_and_who_has_left_is_kept_nowhere(rig):
