Ask the new agent at once where the old was still being dialled

Seen by a test with the dial held at a gate: a new configuration that came while the old agent was dialled waited for the call to the old one, up to 2.2 s, or 6.5 on a slow way (watch.py, moved: closing a client that has no socket yet ends nothing). Change: a client that is ended makes no call. The test runs out of time with the mend out.

--- a/ironfall/api/http.py
+++ b/ironfall/api/http.py
@@ -284,6 +284,7 @@
         self.address, self.connect_time, self.answer_most = address, connect_time, answer_most
         self.sock: socket.socket | None = None
         self.came = 0  # bytes of the last answer, whole or not
+        self.over = False
 
     def call(self, method: str, path: str, seconds: float, body: bytes = b"",
              headers: dict[str, str] | None = None) -> Answer:  # fmt: skip
@@ -300,6 +301,8 @@
         if self.sock is None:
             self.sock = gevent.socket.create_connection(self.address, self.connect_time)
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.over:
+            raise ConnectionAbortedError("no longer wanted")
         lines = [f"{method} {path} HTTP/1.1", f"Host: {self.address[0]}:{self.address[1]}"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         lines += [f"Content-Length: {len(body)}", "", ""]
@@ -332,6 +335,11 @@
             self.sock.close()
             self.sock = None
 
+    def end(self) -> None:
+        """For good: a call that waits is broken off, and one that is still being connected is not made."""
+        self.over = True
+        self.close()
+
 
 class _Reading:
     def __init__(self, most: int) -> None:
--- a/ironfall/platform/watch.py
+++ b/ironfall/platform/watch.py
@@ -64,8 +64,8 @@
 
     def moved(self, address: Address) -> None:
         old, self.client = self.client, HttpClient(address, DIAL_TIME, self.most)
-        self.whole, self.older_since = False, None
-        old.close()
+        self.whole, self.older_since, self.slack = False, None, SLACK
+        old.end()
 
     def _ask(self, client: HttpClient) -> None:
         begun = time.monotonic()
--- a/tests/test_crossing_list.py
+++ b/tests/test_crossing_list.py
@@ -90,17 +90,40 @@
     with PlatformRig(tmp_path, agent=agent) as rig:
         asked.wait()
         client = rig.program.watch.client
-        close, client.close = client.close, lambda: None  # its answer is past the point where closing stops it
+        end, client.end = client.end, lambda: None  # its answer is past the point where that stops it
         other.version = 41
         rig.program.watch.moved(other.address)
         gate.set()
-        client.close = close
+        client.end = end
         until(lambda: other.asked)
         assert other.asked[0] == -1  # all of it
         until(lambda: client.sock is None)
         assert rig.program.hosts.held[b"s-1"].listing.ready
 
 
+def test_a_new_address_that_comes_while_the_old_is_dialled_is_the_next_that_is_asked(tmp_path, monkeypatch):
+    other, dialled, gate, dial = Agent(), Event(), Event(), gevent.socket.create_connection
+
+    def held(*about):
+        dialled.set()
+        gate.wait()
+        return dial(*about)
+
+    with PlatformRig(tmp_path) as rig:
+        it = rig.program.watch
+        rig.agent.mute = True
+        monkeypatch.setattr("gevent.socket.create_connection", held)
+        it.client.close()
+        dialled.wait()
+        asked = len(rig.agent.asked)
+        it.moved(other.address)
+        gate.set()
+        until(lambda: other.asked, watch.WAIT / 2)
+        assert len(rig.agent.asked) == asked
+        rig.agent.mute = False
+    other.server.stop(0)
+
+
 def test_a_list_set_back_for_good_is_taken_within_what_the_agent_may_be_behind(tmp_path, monkeypatch):
     monkeypatch.setattr(watch, "LATEST", 0.5)
     with PlatformRig(tmp_path) as rig:
