Add the capacity page, its figures in one checked file and its arithmetic in code

The operators plan with 12,000 directors before 93,000 hosts. docs/CAPACITY.md says by role and occasion what that needs, what there is, the factor, and the mechanism that carries it or that it is missing; its tables are made by python -m benchmarks.capacity from docs/capacity.toml, the bounds in the code and formulas, and a test fails where they differ. What is not measured yet is said to be so.

--- /dev/null
+++ b/benchmarks/capacity/bounds.py
@@ -0,0 +1,161 @@
+"""Bounds of today beside the size asked for. Values are the code's own, as it is imported."""
+
+import inspect
+import re
+from dataclasses import dataclass
+from types import ModuleType
+
+from benchmarks.capacity.formula import Formula, asked, assumed, each, formula, known, line
+from benchmarks.capacity.places import (
+    DAY,
+    directors,
+    hosts,
+    lost_directors,
+    lost_hosts,
+    lost_service_hosts,
+    proxies,
+    service_hosts,
+    turned,
+    zones,
+)
+from benchmarks.capacity.roles import LEASE, members
+from ironfall.agreement import Bounds
+from ironfall.api import http
+from ironfall.durable import records
+from ironfall.keeper import client, peers, program, server
+from ironfall.keeper.keeper import BOUNDS
+from ironfall.keeper.machine import Machine
+from ironfall.lab import registry
+from ironfall.permits import Fence, Rules, entries, room
+from ironfall.platform import entry, outbox, start
+from ironfall.platform import program as serve
+from ironfall.proxy import program as proxy
+from ironfall.proxy import sums
+from ironfall.publication import Publication, publisher
+from ironfall.terms.limits import NUMBERS, Limits
+
+
+@dataclass(frozen=True)
+class Bound:
+    """`need` is read for the largest service, or on the occasion named; it binds where the need is more."""
+
+    name: str
+    place: str
+    value: float
+    need: Formula
+    full: str
+    occasion: str = "calm"
+    says: str = ""
+
+
+def usual(what: type, name: str) -> float:
+    """The usual value of an argument."""
+    return float(inspect.signature(what).parameters[name].default)
+
+
+def literal(module: ModuleType, pattern: str) -> float:
+    """A bound that has no name, out of the one line where it stands."""
+    (found,) = re.findall(pattern, inspect.getsource(module))
+    return float(found)
+
+
+limits, rules = Limits(), Rules()
+keepers = known("keepers", 3)
+list_row = known("bytes_of_a_list_row", 200)  # as ironfall/platform/start.py says
+REFUSED, LATER = "refused, saying so", "429, asked again"
+
+BOUNDS_OF_TODAY: tuple[Bound, ...] = (
+    Bound("hosts of the ledger", "permits/terms.py `Rules.hosts`", rules.hosts, hosts, REFUSED,
+          says="no terms set it"),
+    Bound("directors of the ledger", "permits/terms.py `Rules.directors`", rules.directors, directors, REFUSED,
+          says="no terms set it"),
+    Bound("holders", "permits/terms.py `Rules.holders`", rules.holders, asked("services"), REFUSED,
+          says="were each service to ask for itself"),
+    Bound("asks that wait", "permits/terms.py `Rules.waiting`", rules.waiting, asked("services"), REFUSED,
+          says="were each service to ask at once"),
+    Bound("asks that ended", "permits/terms.py `Rules.history`", rules.history,
+          asked("restarts_per_day") / DAY * assumed("peak") * assumed("out_s"), "the oldest is forgotten", "day",
+          says="asked again within the time of a work"),
+    Bound("permits open", "permits/terms.py `Rules.open`", rules.open,
+          asked("restarts_per_day") / DAY * assumed("peak") * assumed("out_s"), "asks wait", "day"),
+    Bound("units of one ask", "permits/terms.py `Rules.together`", rules.together, lost_hosts, REFUSED, "zone",
+          says="work on a whole zone as one"),
+    Bound("halts", "permits/terms.py `Rules.halts`", rules.halts, zones, "`halt all` in their place",
+          says="one for each zone"),
+    Bound("items of a list in one entry", "permits/entries.py `MANY`", entries.MANY, hosts, REFUSED,
+          says="the registry's list at its start, all in one"),
+    Bound("bytes of an entry, at the ledger", "permits/entries.py `MOST`", entries.MOST,
+          line("entries.list_bytes", hosts, "hosts"), REFUSED, says="the same"),
+    Bound("bytes of an entry, at the log", "keeper/keeper.py `BOUNDS.entry`", BOUNDS.entry,
+          line("entries.list_bytes", hosts, "hosts"), "400, never to be done", says="the same"),
+    Bound("bytes of a post to a keeper", "keeper/program.py `BODY`", program.BODY,
+          line("entries.list_bytes", hosts, "hosts"), "413", says="the same"),
+    Bound("tenants of a host", "permits/entries.py, in `_list`", literal(entries, r'"tenants"\]\) > (\d+)'),
+          asked("tenants_a_service"), REFUSED, says="were each host to serve all tenants of a mean service"),
+    Bound("classes", "permits/room.py `CLASSES`", room.CLASSES, formula(2), REFUSED, says="two are assumed"),
+    Bound("tokens of a fence", "permits/fence.py `Fence`", usual(Fence, "most"), hosts, "the host's orders refused",
+          says="at the registry: every host that was ever drained, all after twelve days or so"),
+    Bound("askers", "keeper/machine.py `Machine`", usual(Machine, "askers"), members, "429 to those who come anew",
+          says="directors and agents each ask for themselves"),
+    Bound("polls of marks at a keeper", "keeper/server.py `POLLS`", server.POLLS, hosts / keepers, LATER,
+          says="agents, dealt over three keepers"),
+    Bound("connections at a keeper", "terms/limits.py `Limits.held`", limits.held, (2 * hosts + directors) / keepers,
+          "503", says="agents ask and poll; dealt over three keepers"),
+    Bound("asks in hand of a leader", "agreement/way.py `Bounds.asks`", BOUNDS.asks, members, LATER, "keepers",
+          says="all come anew at once"),
+    Bound("writes not durable", "agreement/way.py `Bounds.writes`", BOUNDS.writes, known("asks_in_hand", BOUNDS.asks),
+          LATER),
+    Bound("entries until a snapshot", "agreement/way.py `Bounds.log`", BOUNDS.log, members * LEASE,
+          "a snapshot; at twice that 429", says="were all words entries, of one lease"),
+    Bound("bytes of the log until a snapshot", "keeper/keeper.py `BOUNDS.log_bytes`", BOUNDS.log_bytes,
+          line("entries.list_bytes", hosts, "hosts"), "a snapshot; at twice that 429", says="the list alone"),
+    Bound("entries offered at a time", "agreement/way.py `Bounds.batch`", BOUNDS.batch,
+          turned / 2 * each("entries.restart_entries", "hosts"), "the rest waits", "day", says="of one second"),
+    Bound("bytes of a snapshot", "keeper/keeper.py `BOUNDS.snapshot`", BOUNDS.snapshot,
+          line("ledger-hosts.snapshot_bytes", hosts, "hosts"), "not taken from a peer, and said",
+          says="hosts alone; answers kept of askers come on top"),
+    Bound("bytes of a record", "durable/records.py `RECORD_MOST`", records.RECORD_MOST,
+          line("ledger-hosts.snapshot_bytes", hosts, "hosts"), "the disk counts as failed", says="the snapshot"),
+    Bound("sessions of the agreement", "keeper/keeper.py `BOUNDS.sessions`", BOUNDS.sessions, known("leaders", 3),
+          REFUSED, says=f"one for each reign remembered; {Bounds.sessions:,} without the keeper's setting"),
+    Bound("messages to a peer", "keeper/peers.py `WAITING`", peers.WAITING, known("flight", BOUNDS.flight),
+          "the oldest dropped, said anew at a beat"),
+    Bound("leases ended at a tick", "keeper/program.py `LAPSES`", program.LAPSES, lost_directors,
+          "the rest at the next", "region"),
+    Bound("bytes of a keeper's answer", "keeper/client.py `ANSWER_MOST`", client.ANSWER_MOST,
+          line("ledger-directors.look_bytes", directors, "directors"), "cut, asked of another", says="a look"),
+    Bound("sessions of a director", "terms/limits.py `Limits.sessions`", limits.sessions,
+          proxies * assumed("service_zones") / (assumed("service_zones") - 1), "503", "zone",
+          says="those of the zone lost come to the others"),
+    Bound("proxies joining at a director", "terms/limits.py `Limits.joining`", limits.joining, proxies,
+          "503 with a time", "directors"),
+    Bound("connections at a director", "terms/limits.py `Limits.held`", limits.held, 2 * proxies, "503"),
+    Bound("numbers for proxies", "terms/limits.py `NUMBERS`", NUMBERS, proxies, "503"),
+    Bound("body to a director, bytes", "terms/limits.py `Limits.body`", limits.body, service_hosts * 40, "413",
+          says="a report of every host in 40 bytes; the terms set it"),
+    Bound("events that wait for a turn", "terms/limits.py `Limits.events`; platform/program.py `EVENTS_MOST`",
+          min(limits.events, serve.EVENTS_MOST), lost_service_hosts, "reports add up, joins and leaves are kept",
+          "region"),
+    Bound("lines kept for deltas", "terms/limits.py `Limits.entries`", usual(Publication, "entries"), service_hosts,
+          "whole states", says="one turn that moves every weight of one table"),
+    Bound("deltas kept for others", "publication/publisher.py `MEMO`", publisher.MEMO, proxies, "made anew",
+          says="where each proxy asks from a version of its own"),
+    Bound("bytes of a list at a director", "platform/start.py `LIST_MOST`, memory over `LIST_PART`", start.LIST_MOST,
+          service_hosts * list_row, "cut: what is held stays", says="a host in 200 bytes"),
+    Bound("bytes of a configuration", "platform/start.py `CONFIG_MOST`", start.CONFIG_MOST, service_hosts * list_row,
+          "the old one is kept, and said", says="with the list last held in it"),
+    Bound("bytes of orders in a call", "platform/outbox.py `CALL_MOST`", outbox.CALL_MOST, service_hosts * 40,
+          "the rest in the next call", says="a line for every host in 40 bytes"),
+    Bound("connections that wait to be accepted, `serve`", "platform/entry.py `BACKLOG`", entry.BACKLOG, proxies,
+          "dialled again", "directors"),
+    Bound("hosts met between two reports", "proxy/sums.py `HOSTS_MOST`", sums.HOSTS_MOST, service_hosts,
+          "tries of more count under none"),
+    Bound("exchanges in hand of a proxy", "proxy/program.py `IN_HAND_MOST`", proxy.IN_HAND_MOST,
+          asked("requests_per_s") / directors / proxies * 8, "503 at once", says="of eight seconds each"),
+    Bound("requests ahead on a connection", "api/http.py `AHEAD_MOST`", http.AHEAD_MOST, formula(1),
+          "read no further"),
+    Bound("changes kept by the registry (a stand-in)", "lab/registry.py `HISTORY`", registry.HISTORY, lost_hosts,
+          "whole lists to all", "zone"),
+    Bound("connections at the registry (a stand-in)", "lab/registry.py, in `Registry`",
+          literal(registry, r"HttpServer\(address, Bounds\((\d+),"), directors, "503", says="one registry for all"),
+)  # fmt: skip
