Say what marks cost each agent, and what an assumption out by two moves

The page's rows are read where each service is worst, and with a zone lost at those directors that are left.

--- a/benchmarks/capacity/bounds.py
+++ b/benchmarks/capacity/bounds.py
@@ -5,9 +5,8 @@
 from dataclasses import dataclass
 from types import ModuleType
 
-from benchmarks.capacity.formula import Formula, asked, assumed, each, formula, known, line
+from benchmarks.capacity.formula import Formula, asked, formula, known, line
 from benchmarks.capacity.places import (
-    DAY,
     directors,
     hosts,
     lost_directors,
@@ -15,10 +14,9 @@
     lost_service_hosts,
     proxies,
     service_hosts,
-    turned,
     zones,
 )
-from benchmarks.capacity.roles import LEASE, members
+from benchmarks.capacity.roles import LEASE, members, open_permits, restart_entries
 from ironfall.agreement import Bounds
 from ironfall.api import http
 from ironfall.durable import records
@@ -74,10 +72,10 @@
     Bound("asks that wait", "permits/terms.py `Rules.waiting`", rules.waiting, asked("services"), REFUSED,
           says="were each service to ask at once"),
     Bound("asks that ended", "permits/terms.py `Rules.history`", rules.history,
-          asked("restarts_per_day") / DAY * assumed("peak") * assumed("out_s"), "the oldest is forgotten", "day",
+          open_permits, "the oldest is forgotten", "day",
           says="asked again within the time of a work"),
     Bound("permits open", "permits/terms.py `Rules.open`", rules.open,
-          asked("restarts_per_day") / DAY * assumed("peak") * assumed("out_s"), "asks wait", "day"),
+          open_permits, "asks wait", "day"),
     Bound("units of one ask", "permits/terms.py `Rules.together`", rules.together, lost_hosts, REFUSED, "zone",
           says="work on a whole zone as one"),
     Bound("halts", "permits/terms.py `Rules.halts`", rules.halts, zones, "`halt all` in their place",
@@ -94,7 +92,7 @@
           asked("tenants_a_service"), REFUSED, says="were each host to serve all tenants of a mean service"),
     Bound("classes", "permits/room.py `CLASSES`", room.CLASSES, formula(2), REFUSED, says="two are assumed"),
     Bound("tokens of a fence", "permits/fence.py `Fence`", usual(Fence, "most"), hosts, "the host's orders refused",
-          says="at the registry: every host that was ever drained, all after twelve days or so"),
+          says="at the registry: every host that was ever drained"),
     Bound("askers", "keeper/machine.py `Machine`", usual(Machine, "askers"), members, "429 to those who come anew",
           says="directors and agents each ask for themselves"),
     Bound("polls of marks at a keeper", "keeper/server.py `POLLS`", server.POLLS, hosts / keepers, LATER,
@@ -110,7 +108,7 @@
     Bound("bytes of the log until a snapshot", "keeper/keeper.py `BOUNDS.log_bytes`", BOUNDS.log_bytes,
           line("entries.list_bytes", hosts, "hosts"), "a snapshot; at twice that 429", says="the list alone"),
     Bound("entries offered at a time", "agreement/way.py `Bounds.batch`", BOUNDS.batch,
-          turned / 2 * each("entries.restart_entries", "hosts"), "the rest waits", "day", says="of one second"),
+          restart_entries, "the rest waits", "day", says="of one second"),
     Bound("bytes of a snapshot", "keeper/keeper.py `BOUNDS.snapshot`", BOUNDS.snapshot,
           line("ledger-hosts.snapshot_bytes", hosts, "hosts"), "not taken from a peer, and said",
           says="hosts alone; answers kept of askers come on top"),
@@ -118,14 +116,15 @@
           line("ledger-hosts.snapshot_bytes", hosts, "hosts"), "the disk counts as failed", says="the snapshot"),
     Bound("sessions of the agreement", "keeper/keeper.py `BOUNDS.sessions`", BOUNDS.sessions, known("leaders", 3),
           REFUSED, says=f"one for each reign remembered; {Bounds.sessions:,} without the keeper's setting"),
+    Bound("bytes to a peer", "keeper/peers.py `BYTES`", peers.BYTES,
+          known("flight_bytes", BOUNDS.flight * BOUNDS.batch_bytes), "the oldest dropped, said anew at a beat"),
     Bound("messages to a peer", "keeper/peers.py `WAITING`", peers.WAITING, known("flight", BOUNDS.flight),
           "the oldest dropped, said anew at a beat"),
     Bound("leases ended at a tick", "keeper/program.py `LAPSES`", program.LAPSES, lost_directors,
           "the rest at the next", "region"),
     Bound("bytes of a keeper's answer", "keeper/client.py `ANSWER_MOST`", client.ANSWER_MOST,
           line("ledger-directors.look_bytes", directors, "directors"), "cut, asked of another", says="a look"),
-    Bound("sessions of a director", "terms/limits.py `Limits.sessions`", limits.sessions,
-          proxies * assumed("service_zones") / (assumed("service_zones") - 1), "503", "zone",
+    Bound("sessions of a director", "terms/limits.py `Limits.sessions`", limits.sessions, proxies, "503", "zone",
           says="those of the zone lost come to the others"),
     Bound("proxies joining at a director", "terms/limits.py `Limits.joining`", limits.joining, proxies,
           "503 with a time", "directors"),
--- a/benchmarks/capacity/figures.py
+++ b/benchmarks/capacity/figures.py
@@ -215,8 +215,9 @@
     return Slope(name=name, **{**fields, "sizes": tuple(sizes), "values": tuple(values)})
 
 
-def rounded(value: float) -> float:
-    return float(f"{value:.{DIGITS}g}")
+def rounded(value: float, beside: float = 0.0) -> float:
+    """As it is written down; nought where it is nothing beside another."""
+    return 0.0 if abs(value) < 1e-12 * beside else float(f"{value:.{DIGITS}g}")
 
 
 def take(document: TOMLDocument, measured: Any) -> list[str]:
@@ -250,11 +251,12 @@
 
 def _taken(top: Mapping[str, Any], row: Mapping[str, Any]) -> Table:
     sizes, values = top["sizes"], [rounded(v) for v in row["values"]]
-    line, before = fit(sizes, values), fit(sizes[:-1], values[:-1])
+    line, before, largest = fit(sizes, values), fit(sizes[:-1], values[:-1]), max(map(abs, values))
     one = tomlkit.table()
     for name, value in (
-        ("by", top["by"]), ("unit", row["unit"]), ("fixed", rounded(line.fixed)), ("slope", rounded(line.slope)),
-        ("residual", rounded(line.residual)), ("sizes", sizes), ("values", values),
+        ("by", top["by"]), ("unit", row["unit"]), ("fixed", rounded(line.fixed, largest)),
+        ("slope", rounded(line.slope, largest / sizes[-1])),
+        ("residual", rounded(line.residual, 1.0)), ("sizes", sizes), ("values", values),
         ("predicted", rounded(before.at(sizes[-1]))), ("repeats", top["repeats"]), ("counted", row["counted"]),
         ("command", top["command"]), ("day", top["day"]), ("seed", top["seed"]), ("left_out", top["left_out"]),
     ):  # fmt: skip
--- a/benchmarks/capacity/places.py
+++ b/benchmarks/capacity/places.py
@@ -30,7 +30,8 @@
 @dataclass(frozen=True)
 class Occasion:
     """`changes` of configuration a second in the whole fleet, `turned` hosts that go or come a second, and what goes,
-    comes or is heard no more in one instant: hosts of a service, hosts of all, directors."""
+    comes or is heard no more in one instant: hosts of a service, hosts of all, directors. `more`: times as many
+    proxies at those directors of a service that are left."""
 
     name: str
     says: str
@@ -39,6 +40,7 @@
     service_hosts: Formula
     hosts: Formula
     directors: Formula
+    more: Formula = formula(1)
 
 
 @cache
@@ -70,7 +72,7 @@
 # The mean over all that a host's or director's service has, each host or director counted.
 met_hosts = Formula("met_hosts", lambda p: p.capacity.asked["hosts"] * _weighted(p))
 met_directors = Formula("met_directors", lambda p: p.capacity.asked["directors"] * _weighted(p))
-proxies = assumed("proxies_a_director")
+proxies = Formula("proxies", lambda p: p.capacity.assumed["proxies_a_director"].value * p.occasion.more.of(p))
 changes = Formula("changes", lambda p: p.occasion.changes.of(p))
 turned = Formula("turned", lambda p: p.occasion.turned.of(p))
 lost_service_hosts = Formula("lost_service_hosts", lambda p: p.occasion.service_hosts.of(p))
@@ -81,6 +83,7 @@
     "share": "the service's part of all hosts",
     "service_hosts, service_directors": "hosts * share, directors * share",
     "met_hosts, met_directors": "hosts or directors of a service, a mean over hosts and not over services",
+    "proxies": "`proxies_a_director`; where a zone is lost, with those of its directors",
     "changes": "of configuration a second, of the whole fleet",
     "turned": "hosts that go or come a second, of the whole fleet",
     "lost_hosts, lost_directors": "that go, come or are heard no more in one instant, of the whole fleet",
@@ -101,7 +104,8 @@
     "rack": Occasion("a rack", "all its hosts in one instant; all of one service's zone at worst", _changed, _turned,
                      least(asked("rack_hosts"), _of_a_zone), asked("rack_hosts"), directors * _rack_part),
     "zone": Occasion("a zone lost, back cold", "its hosts and directors in one instant, gone and then back", _changed,
-                     _turned, _of_a_zone, hosts / zones, directors / zones),
+                     _turned, _of_a_zone, hosts / zones, directors / zones,
+                     assumed("service_zones") / (assumed("service_zones") - 1)),
     "region": Occasion("a region apart", "for an hour, then back in one instant", _changed, _turned, _apart,
                        hosts / regions, directors / regions),
     "keepers": Occasion("all keepers restarted", "all that speak to them come anew", _changed, _turned, nothing, hosts,
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -101,6 +101,8 @@
 turn_ms = line("decisions-hosts.worst_turn_ms", service_hosts, "hosts")
 members = directors + hosts
 keepers_edge = directors * member("keeper_cpu_ms_s") + hosts * each("agent.keeper_cpu_ms_s", "hosts")
+open_permits = turned / 2 * assumed("out_s")
+marks_s = turned / 2 * each("entries.restart_marks", "hosts")
 restart_entries = turned / 2 * each("entries.restart_entries", "hosts")
 turned_apart = restart_entries * asked("region_apart_s") / regions
 registry_ms = turned * line("registry-watchers.cpu_ms_change", met_directors, "watchers")
@@ -190,6 +192,10 @@
         "an operator's own; `ironfall/lab/agents.py` (a stand-in), word and poll each second",
         says="nothing is asked of it; held against a director's limit",
         after={"observers": (each("observed-members.member_bytes_s", "members"), "`ironfall/observers/homing.py`")}),
+    Row(AGENT, "marks told to it", "B/s", ALL, marks_s * line("entries.marks_bytes", open_permits, "hosts"), WIRE,
+        "`ironfall/keeper/server.py`: all marks to all who poll, at each change",
+        says="nothing is asked of it; held against a director's limit. Of all agents times as much at the keepers",
+        after={"observers": (each("observed-members.member_bytes_s", "members"), "its own marks alone")}),
     Row(KEEPER, "entries at rest", "1/s", ALL, entries_at_rest, room, "`ironfall/keeper/`: an entry for each word",
         safety=True, says="past it words are refused, leases lapse, and an operator's halt waits with the rest",
         after={"observers": (line("observed-members.entries_s", members, "members"), "`ironfall/observers/`")}),
--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -2,7 +2,7 @@
 
 import re
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from benchmarks.capacity.bounds import BOUNDS_OF_TODAY, Bound
 from benchmarks.capacity.figures import ASKED, Capacity, Faulty
@@ -13,6 +13,7 @@
 MARKER = re.compile(r"<!-- table: ([\w-]+) -->")
 END = "<!-- end -->"
 NOT_MEASURED, BEYOND = "not measured", "†"
+MOVED = 4  # factors told of an assumption
 
 
 def number(value: float) -> str:
@@ -36,7 +37,7 @@
 
 @dataclass(frozen=True)
 class Worst:
-    """A row with the occasion that it is worst on; its cells there, one or three."""
+    """A row where it is worst: a cell for each service of the spread, or one for all, each with its own occasions."""
 
     row: Row
     on: tuple[str, ...]
@@ -49,10 +50,12 @@
 
 def worst_of(capacity: Capacity, row: Row, mechanism: str = "") -> Worst:
     read = {name: cells(capacity, row, name, mechanism) for name in row.on}
-    found = [Worst(row, (name,), one) for name, one in read.items()]
-    best = max(found, key=lambda w: w.factor if w.factor >= 0 else max((c.need or 0 for c in w.cells), default=0))
-    alike = tuple(w.on[0] for w in found if [c.need for c in w.cells] == [c.need for c in best.cells])
-    return Worst(row, alike, best.cells)
+    found, on = [], set()
+    for several in zip(*read.values(), strict=True):
+        worst = max(several, key=lambda c: c.factor if c.factor is not None else c.need or 0.0)
+        found.append(worst)
+        on |= {name for name, c in zip(read, several, strict=True) if c.need == worst.need}
+    return Worst(row, tuple(name for name in row.on if name in on), found)
 
 
 def ranked(capacity: Capacity) -> list[Worst]:
@@ -143,6 +146,18 @@
                  [[n, plain(a.value), a.unit, a.why] for n, a in capacity.assumed.items()])  # fmt: skip
 
 
+def doubled(capacity: Capacity) -> list[str]:
+    """What comes of the factors, where an assumption is out by two."""
+    before, rows = {id(w.row): w for w in ranked(capacity)}, []
+    for name, one in capacity.assumed.items():
+        other = replace(capacity, assumed={**capacity.assumed, name: replace(one, value=2 * one.value)})
+        moved = [w for w in ranked(other) if abs(w.factor / before[id(w.row)].factor - 1) > 0.01]
+        told = [f"{w.row.role}: {w.row.what} {number(before[id(w.row)].factor)} to {number(w.factor)}" for w in moved]
+        told[MOVED:] = [f"{len(told) - MOVED} more"] if len(told) > MOVED else []
+        rows.append([name, "; ".join(told) or "none"])
+    return table(["assumed, doubled", "factors that move, the worst of each"], rows)
+
+
 def names(capacity: Capacity) -> list[str]:
     return table(["name", "is"], [[f"`{name}`", says] for name, says in SAID.items()])
 
@@ -260,7 +275,7 @@
 
 TABLES: dict[str, Callable[[Capacity], list[str]]] = {
     "factors": factors, "ranking": ranking, "asked": asked_for, "derived": derived, "assumed": assumptions,
-    "names": names, "roles": roles, "occasions": occasions, "matrix": matrix,
+    "doubled": doubled, "names": names, "roles": roles, "occasions": occasions, "matrix": matrix,
     "needs": needs, "slopes": slopes, "commands": commands,
     "unmeasured": unmeasured, "bounds": bounds, "mechanisms": mechanisms,
 }  # fmt: skip
--- a/benchmarks/scale/entries.py
+++ b/benchmarks/scale/entries.py
@@ -1,7 +1,7 @@
-"""Bytes of the log's entries that grow with the hosts named in them, and the entries that restarts of hosts cost.
+"""Bytes of entries and answers that grow with the hosts named in them, and the entries that restarts of hosts cost.
 
-A list as the registry tells it at its start, all in one; the words of hosts that share a process, all in one. And each
-host drained, stopped, started and seen back by a permit of its own.
+A list as the registry tells it at its start, all in one; the words of hosts that share a process, all in one; the marks
+of hosts that drain, as each poll is answered. And each host drained, stopped, started and seen back by its own permit.
 """
 
 import json
@@ -11,7 +11,8 @@
 
 SIZES = (8, 34, 136, 544)
 BY = "hosts"
-FIGURES = {"list_bytes": "B", "words_bytes": "B", "restart_entries": "entries"}
+FIGURES = {"list_bytes": "B", "words_bytes": "B", "marks_bytes": "B", "restart_entries": "entries",
+           "restart_marks": "changes"}
 LEFT_OUT = ("No keepers, sockets or log; words once a second, leases and ticks are counted as rest and not here.")
 COUNTED = frozenset(FIGURES)
 PROCESSES = 0
@@ -26,7 +27,8 @@
     """A ledger whose entries are counted, but those that come at rest too."""
 
     def __init__(self, hosts, chance):
-        self.ledger, self.index, self.now, self.version, self.counted = Ledger(), 0, 3_600 * SECOND, 0, 0
+        self.ledger, self.index, self.now, self.version = Ledger(), 0, 3_600 * SECOND, 0
+        self.counted, self.marked, self.marks = 0, 0, []
         self.hosts = {f"host{n:05}": self.row(n, chance) for n in range(hosts)}
         free = [(scope, 1 << 30, 1_000_000) for scope in ("fleet", "directors")]
         self.do("rules", rules=Rules(budgets=tuple(free), margin=0, age=1 << 40, unplanned=1_000_000).facts())
@@ -35,7 +37,7 @@
         self.do("hold", holder="h", inc=1)
         self.words()
         self.do("agents", hosts={name: self.agent(1, 1) for name in self.hosts})
-        self.counted = 0
+        self.counted = self.marked = 0
 
     @staticmethod
     def row(n, chance):
@@ -49,6 +51,8 @@
         answer = json.loads(self.ledger.apply(self.index, json.dumps({"k": kind, "at": self.now} | fields).encode()))
         if "ok" not in answer:
             raise RuntimeError(f"{kind} was answered {answer}")
+        before, self.marks = self.marks, list(self.ledger.marks())
+        self.marked += before != self.marks
         return answer
 
     def rest(self, kind, **fields):
@@ -67,7 +71,7 @@
     def agent(incarnation, number, **more):
         return {"inc": incarnation, "n": number, "up": True, "quiet": 60 * SECOND} | more
 
-    def restart(self, number, name):
+    def restart(self, number, name, stays=False):
         unit, row = f"host/{name}", self.hosts[name]
 
         def step(kind):
@@ -79,6 +83,8 @@
         self.do("ask", holder="h", inc=1, n=number, units=[unit], length=60 * SECOND)
         self.rest("tick")
         token = step("drain")
+        if stays:
+            return
         self.list({name: row | {"ready": False, "token": token}})
         self.now += 6 * SECOND  # over `empty`, within a lease
         self.words(drained={name: token})
@@ -96,9 +102,12 @@
     played = Played(size, chance)
     for number, name in enumerate(played.hosts, 1):
         played.restart(number, name)
+    restarts = {"restart_entries": played.counted, "restart_marks": played.marked}
+    for number, name in enumerate(played.hosts, size + 1):
+        played.restart(number, name, stays=True)
+    marks = {"index": played.index, "marks": played.marks}
     listed = {"k": "list", "at": played.now, "v": 1, "hosts": played.hosts, "gone": []}
     words = {name: {"inc": 1, "n": (1 << 32) + 1, "up": True, "quiet": 0, "token": 0} for name in played.hosts}
     entry = {"k": "agents", "at": played.now, "hosts": words}
-    sizes = {"list_bytes": listed, "words_bytes": entry}
-    return {name: len(json.dumps(one, separators=(",", ":"))) for name, one in sizes.items()} | {
-        "restart_entries": played.counted}  # fmt: skip
+    sizes = {"list_bytes": listed, "words_bytes": entry, "marks_bytes": marks}
+    return {name: len(json.dumps(one, separators=(",", ":"))) for name, one in sizes.items()} | restarts
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -17,7 +17,7 @@
 from benchmarks.capacity import figures, plot, roles, tables
 from benchmarks.capacity.bounds import BOUNDS_OF_TODAY
 from benchmarks.capacity.formula import asked, formula, line
-from benchmarks.capacity.places import OCCASIONS, Place, Service, service_hosts, spread, weights
+from benchmarks.capacity.places import OCCASIONS, SAID, Place, Service, service_hosts, spread, weights
 from benchmarks.scale import frame
 
 DOCS = Path(__file__).parent.parent / "docs"
@@ -109,7 +109,7 @@
 
 def test_every_number_of_the_operators_is_in_a_formula_or_said_to_be_in_none():
     texts = " ".join(f"{row.need.text} {row.limit.text if row.limit else ''}" for row in roles.ROWS)
-    texts += " ".join(b.need.text for b in BOUNDS_OF_TODAY)
+    texts += " ".join(b.need.text for b in BOUNDS_OF_TODAY) + SAID["proxies"]
     for one in OCCASIONS.values():
         texts += f" {one.changes.text} {one.turned.text} {one.hosts.text} {one.service_hosts.text}"
     used = set(re.findall(r"\w+", texts))
