--- a/benchmarks/capacity/figures.py
+++ b/benchmarks/capacity/figures.py
@@ -2,6 +2,7 @@
 
 import datetime
 import math
+import re
 from bisect import bisect_right
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -31,8 +32,14 @@
 SLOPE_OPTIONAL = {"predicted": float, "bend": str}
 COUNT = {"value": float, "unit": str, "command": str, "day": str}
 MECHANISM = {"what": str, "module": str}
+EMPTY = ("unit", "longest_kind")  # texts that may say nothing
+NOTHING = 1e-12  # beside another
 DIGITS = 6  # of a figure that is written down
-LIKE = 1e-3  # a fit written down and the fit of its values may differ by so much
+LIKE = 1e-5  # a fit written down and the fit of its values may differ by so much of it
+DAY = {"hosts": int, "directors": int, "hours": int, "command": str, "day": str, "seed": int, "left_out": str,
+       "findings": list, "steps": list}  # fmt: skip
+STEP = {"step": str, "entries": int, "bytes": int, "cpu_s": float, "longest_ms": float, "longest_kind": str,
+        "open": int}  # fmt: skip
 
 
 class Faulty(Exception):
@@ -95,6 +102,34 @@
     module: str
 
 
+@dataclass(frozen=True)
+class Step:
+    """What the ledger was given in a part of a day; `open`: the most permits at a time."""
+
+    step: str
+    entries: int
+    bytes: int
+    cpu_s: float
+    longest_ms: float
+    longest_kind: str
+    open: int
+
+
+@dataclass(frozen=True)
+class Day:
+    """A day of the pure parts under a virtual clock."""
+
+    hosts: int
+    directors: int
+    hours: int
+    command: str
+    day: str
+    seed: int
+    left_out: str
+    findings: list[str]
+    steps: list[Step]
+
+
 @dataclass(frozen=True)
 class Capacity:
     """The file, checked."""
@@ -104,6 +139,7 @@
     slopes: Mapping[str, Slope]
     counts: Mapping[str, Count]
     mechanisms: Mapping[str, Mechanism]
+    days: Mapping[str, Day]
 
 
 def kind_is(value: Any, kind: type) -> bool:
@@ -134,7 +170,7 @@
                     self.faults.append(f"{where}.{name}: missing")
             elif not kind_is(table[name], kind):
                 self.faults.append(f"{where}.{name}: {table[name]!r} is no {kind.__name__}")
-            elif kind is str and name != "unit" and not table[name].strip():
+            elif kind is str and name not in EMPTY and not table[name].strip():
                 self.faults.append(f"{where}.{name}: says nothing")
         self.unknown(table, all_of, where)
         return dict(table) if len(self.faults) == before else None
@@ -148,7 +184,7 @@
     reading = Reading()
     top = reading.table(held, "the file")
     reading.faults += [f"{name}: unknown" for name in top
-                       if name not in ("asked", "assumed", "slope", "count", "mechanism")]  # fmt: skip
+                       if name not in ("asked", "assumed", "slope", "count", "mechanism", "day")]  # fmt: skip
     asked = reading.table(top.get("asked"), "asked")
     given = reading.fields(asked, "asked", dict.fromkeys(ASKED, float)) or {}
     reading.faults += [f"asked.{name}: {value} must be above nought" for name, value in given.items() if value <= 0]
@@ -177,9 +213,17 @@
     for name, one in reading.table(top.get("mechanism", {}), "mechanism").items():
         if fields := reading.fields(one, f"mechanism.{name}", MECHANISM):
             mechanisms[name] = Mechanism(**fields)
+    days = {}
+    for name, one in reading.table(top.get("day", {}), "day").items():
+        if fields := reading.fields(one, f"day.{name}", DAY):
+            _day(reading, f"day.{name}", fields["day"])
+            if not all(isinstance(text, str) for text in fields["findings"]):
+                reading.faults.append(f"day.{name}.findings: texts are wanted")
+            read_steps = [reading.fields(step, f"day.{name}.steps.{n}", STEP) for n, step in enumerate(fields["steps"])]
+            days[name] = Day(**{**fields, "steps": [Step(**step) for step in read_steps if step]})
     if reading.faults:
         raise Faulty("\n".join(reading.faults))
-    return Capacity(given, assumed, slopes, counts, mechanisms)
+    return Capacity(given, assumed, slopes, counts, mechanisms, days)
 
 
 def _day(reading: Reading, where: str, day: str) -> None:
@@ -205,9 +249,9 @@
     if len(reading.faults) > before:
         return None
     line, largest = fit(sizes, values), max(abs(v) for v in values) or 1.0
-    for one, wanted, scale in (("fixed", line.fixed, largest), ("slope", line.slope, largest / sizes[-1]),
-                               ("residual", line.residual, max(1.0, line.residual))):  # fmt: skip
-        if abs(fields[one] - wanted) > LIKE * scale:
+    for one, wanted, beside in (("fixed", line.fixed, largest), ("slope", line.slope, largest / sizes[-1]),
+                                ("residual", line.residual, 1.0)):  # fmt: skip
+        if abs(fields[one] - wanted) > LIKE * abs(wanted) + NOTHING * beside:
             reading.faults.append(f"{where}.{one}: {fields[one]} is not of the line through its values, {wanted:.6g}")
     if len(reading.faults) > before:
         return None
@@ -217,15 +261,18 @@
 
 def rounded(value: float, beside: float = 0.0) -> float:
     """As it is written down; nought where it is nothing beside another."""
-    return 0.0 if abs(value) < 1e-12 * beside else float(f"{value:.{DIGITS}g}")
+    return 0.0 if abs(value) < NOTHING * beside else float(f"{value:.{DIGITS}g}")
 
 
 def take(document: TOMLDocument, measured: Any) -> list[str]:
-    """A measurement's JSON into the file, in place of what it had of it; the names taken. Raises `Faulty`.
+    """A measurement's JSON into the file, or that of a virtual day, in place of what it had of it; the names taken.
+    Raises `Faulty`.
 
     The line is fitted here from the values, so that all lines of the page are made in one way.
     """
     reading = Reading()
+    if isinstance(measured, Mapping) and "steps" in measured:
+        return _take_day(document, measured)
     frame = {"what": str, "by": str, "day": str, "seed": int, "repeats": int, "sizes": list, "left_out": str,
              "command": str, "figures": dict}  # fmt: skip
     top = reading.fields(measured, "measured", frame)
@@ -249,6 +296,34 @@
     return [f"{what}.{figure}" for figure in taken]
 
 
+def _take_day(document: TOMLDocument, measured: Mapping[str, Any]) -> list[str]:
+    """What the page shows of it; what else it tells is left out."""
+    reading = Reading()
+    top = reading.fields({name: one for name, one in measured.items() if name in DAY}, "measured", DAY)
+    steps = []
+    for n, held in enumerate(top["steps"] if top else ()):
+        told = {name: one for name, one in reading.table(held, f"measured.steps.{n}").items() if name in STEP}
+        if step := reading.fields(told, f"measured.steps.{n}", STEP):
+            steps.append({name: rounded(one) if STEP[name] is float else one for name, one in step.items()})
+    if reading.faults or top is None:
+        raise Faulty("\n".join(reading.faults))
+    table = tomlkit.table()
+    for name in DAY:
+        table[name] = top[name]
+    table["command"], table["steps"] = _command(top["command"]), tomlkit.array()
+    for step in steps:
+        table["steps"].add_line({name: step[name] for name in STEP})
+    table["steps"].add_line(indent="")
+    name = f"of-{top['hosts']}"
+    document.setdefault("day", tomlkit.table(is_super_table=True))[name] = table
+    return [f"day.{name}"]
+
+
+def _command(text: str) -> str:
+    """Without the file that it wrote."""
+    return re.sub(r" --json \S+", "", text)
+
+
 def _taken(top: Mapping[str, Any], row: Mapping[str, Any]) -> Table:
     sizes, values = top["sizes"], [rounded(v) for v in row["values"]]
     line, before, largest = fit(sizes, values), fit(sizes[:-1], values[:-1]), max(map(abs, values))
@@ -258,7 +333,7 @@
         ("slope", rounded(line.slope, largest / sizes[-1])),
         ("residual", rounded(line.residual, 1.0)), ("sizes", sizes), ("values", values),
         ("predicted", rounded(before.at(sizes[-1]))), ("repeats", top["repeats"]), ("counted", row["counted"]),
-        ("command", top["command"]), ("day", top["day"]), ("seed", top["seed"]), ("left_out", top["left_out"]),
+        ("command", _command(top["command"])), ("day", top["day"]), ("seed", top["seed"]), ("left_out", top["left_out"]),
     ):  # fmt: skip
         one[name] = value
     return one
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -87,6 +87,11 @@
     return line(f"serve-proxies.{figure}", proxies, "proxies") + each(f"serve-hosts.{figure}", "hosts") * more_hosts
 
 
+def changed(figure: str) -> Formula:
+    """Of drains with their returns, of the service."""
+    return turned / 2 * share * line(f"serve-hosts.{figure}", service_hosts, "hosts")
+
+
 def member(figure: str) -> Formula:
     return each(f"member.{figure}", "members")
 
@@ -124,14 +129,15 @@
 
 ROWS: tuple[Row, ...] = (
     Row(SERVE, "processor time, all it does", "ms/s", ALL,
-        whole("cpu_ms_s") + member("cpu_ms_s") + service_turned * turn_ms, CORE,
+        whole("cpu_ms_s") + member("cpu_ms_s") + changed("change_cpu_ms"), CORE,
         "`ironfall/director/turns.py`, one turn for all proxies", services=True,
-        says="the stricter reading, planned by; each host that turns is taken for a turn of its own"),
+        says="the stricter reading, planned by"),
     Row(SERVE, "processor time, the decisions alone", "ms/s", ALL, decided + service_turned * turn_ms, CORE,
         "`ironfall/logic.py`, every weight of every table each time", services=True),
     Row(SERVE, "memory", "MB", ALL, whole("rss_mb"), MEMORY,
         "`ironfall/platform/`, the standard library, gevent and httptools", services=True),
-    Row(SERVE, "bytes in and out, all", "B/s", ALL, whole("out_bytes_s") + whole("in_bytes_s") + member_bytes, WIRE,
+    Row(SERVE, "bytes in and out, all", "B/s", ALL,
+        whole("out_bytes_s") + whole("in_bytes_s") + changed("change_bytes") + member_bytes, WIRE,
         "`ironfall/platform/outbox.py`: one call a turn, the newest word of each order", services=True,
         says="the stricter reading"),
     Row(SERVE, "longest turn", "s", ALL, turn_ms / 1000, IN_FORCE, "`ironfall/logic.py`, in one call", services=True),
@@ -227,6 +233,13 @@
         "`ironfall/keeper/client.py`: tried again with jitter", safety=True,
         says="what takes longer than a lease lapses directors that live",
         after={"observers": (line("observed-storm.all_s", members, "members"), "`ironfall/observers/`")}),
+    Row(KEEPER, "all directors hold a lease again", "s", ("keepers",), line("join-storm.all_s", directors, "members"),
+        LEASE, "`ironfall/director/member.py`: joined anew with jitter", safety=True,
+        says="by directors alone, from the keepers' start"),
+    Row(KEEPER, "a host's death known to the ledger", "s", ("day", "rack", "zone"),
+        line("host-death.known_ms", service_directors, "members") / 1000, IN_FORCE,
+        "`ironfall/permits/standing.py`: the second voice", services=True,
+        says="from the directors' seeing it"),
     Row(KEEPER, "a zone's members gone, and come anew", "s", ("zone",), (2 * lost_directors + lost_hosts) / room,
         IN_FORCE, "`ironfall/keeper/program.py`: a lapse and a join each", safety=True,
         after={"observers": (line("observed-zone.entries", lost_hosts + lost_directors, "members") / room,
--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -9,10 +9,13 @@
 from benchmarks.capacity.places import OCCASIONS, SAID, Place, spread
 from benchmarks.capacity.roles import ROLES, ROWS, Cell, Row, cells
 from benchmarks.scale.frame import QUARTER
+from ironfall.keeper.keeper import BOUNDS
+from ironfall.permits.terms import SECOND
 
 MARKER = re.compile(r"<!-- table: ([\w-]+) -->")
 END = "<!-- end -->"
 NOT_MEASURED, BEYOND = "not measured", "†"
+MEGA, ELECTION_MS = 1e6, BOUNDS.election * 1000 / SECOND
 MOVED = 4  # factors told of an assumption
 
 
@@ -240,6 +243,24 @@
     return table(["not measured", "wanted by"], [[f"`{n}`", "; ".join(by)] for n, by in sorted(missing.items())])
 
 
+def days(capacity: Capacity) -> list[str]:
+    """The virtual days, largest first: steps, and what was found."""
+    if not capacity.days:
+        return [NOT_MEASURED]
+    rows, told = [], []
+    for one in sorted(capacity.days.values(), key=lambda d: -d.hosts):
+        for step in one.steps:
+            longest = f"{number(step.longest_ms)} ({step.longest_kind})" if step.longest_kind else "-"
+            rows.append([plain(one.hosts), plain(one.directors), step.step, plain(step.entries),
+                         number(step.bytes / MEGA), number(step.cpu_s), longest,
+                         number(step.longest_ms / ELECTION_MS), plain(step.open)])  # fmt: skip
+        told += ["", f"`{one.command}`, {one.day}, {one.hours} hours. Left out: {one.left_out}"]
+        told += [f"- {text}" for text in one.findings]
+    head = ["hosts", "directors", "step", "entries", "MB", "processor s", "longest entry, ms", "of an election",
+            "permits open, at most"]  # fmt: skip
+    return table(head, rows) + told
+
+
 def _bound(capacity: Capacity, bound: Bound) -> list[str]:
     places = [Place(capacity, s, OCCASIONS[bound.occasion]) for s in spread(capacity.asked)]
     if missing := bound.need.missing(places[0]):
@@ -277,7 +298,7 @@
     "factors": factors, "ranking": ranking, "asked": asked_for, "derived": derived, "assumed": assumptions,
     "doubled": doubled, "names": names, "roles": roles, "occasions": occasions, "matrix": matrix,
     "needs": needs, "slopes": slopes, "commands": commands,
-    "unmeasured": unmeasured, "bounds": bounds, "mechanisms": mechanisms,
+    "unmeasured": unmeasured, "days": days, "bounds": bounds, "mechanisms": mechanisms,
 }  # fmt: skip
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -25,7 +25,8 @@
 
 
 # With few measurements, for the tests that read it again and again.
-SMALL = HELD | {"slope": {what: HELD["slope"][what] for what in ("holding", "entries")}}
+SMALL = {"asked": HELD["asked"], "assumed": HELD["assumed"],
+         "slope": {what: HELD["slope"][what] for what in ("holding", "entries")}}  # fmt: skip
 
 
 def changed(held=HELD, **asked_for):
@@ -186,6 +187,21 @@
     assert {name: held[name] for name in ("asked", "assumed")} == {name: HELD[name] for name in ("asked", "assumed")}
 
 
+def test_a_virtual_day_is_taken_by_its_hosts_without_the_file_that_it_wrote():
+    step = {"step": "rack", "entries": 9, "bytes": 90, "cpu_s": 0.12345678, "longest_ms": 1.0, "longest_kind": "list",
+            "open": 2, "kinds": {}}  # fmt: skip
+    made = {"what": "day", "hosts": 930, "directors": 120, "hours": 24, "day": "2026-12-02", "seed": 1,
+            "command": "python -m made --json /there/it --seed 1", "left_out": "all", "findings": ["one"], "steps": [step]}  # fmt: skip
+    document = tomlkit.parse((DOCS / "capacity.toml").read_text())
+    assert figures.take(document, made) == figures.take(document, made) == ["day.of-930"]
+    capacity = figures.read(tomllib.loads(tomlkit.dumps(document)))
+    assert capacity.days["of-930"].steps[0].cpu_s == 0.123457
+    assert capacity.days["of-930"].command == "python -m made --seed 1"
+    assert "- one" in tables.days(capacity)
+    with pytest.raises(figures.Faulty, match="measured.steps.0.open: missing"):
+        figures.take(document, made | {"steps": [{n: v for n, v in step.items() if n != "open"}]})
+
+
 @pytest.mark.parametrize("made", [
     {}, [], measured() | {"sizes": [1, 2]}, measured() | {"command": ""}, measured() | {"more": 1},
     measured(residual="none"), measured(unit=3), {k: v for k, v in measured().items() if k != "day"},
