--- a/benchmarks/capacity/figures.py
+++ b/benchmarks/capacity/figures.py
@@ -333,7 +333,8 @@
         ("slope", rounded(line.slope, largest / sizes[-1])),
         ("residual", rounded(line.residual, 1.0)), ("sizes", sizes), ("values", values),
         ("predicted", rounded(before.at(sizes[-1]))), ("repeats", top["repeats"]), ("counted", row["counted"]),
-        ("command", _command(top["command"])), ("day", top["day"]), ("seed", top["seed"]), ("left_out", top["left_out"]),
+        ("command", _command(top["command"])), ("day", top["day"]), ("seed", top["seed"]),
+        ("left_out", top["left_out"]),
     ):  # fmt: skip
         one[name] = value
     return one
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -191,7 +191,8 @@
     step = {"step": "rack", "entries": 9, "bytes": 90, "cpu_s": 0.12345678, "longest_ms": 1.0, "longest_kind": "list",
             "open": 2, "kinds": {}}  # fmt: skip
     made = {"what": "day", "hosts": 930, "directors": 120, "hours": 24, "day": "2026-12-02", "seed": 1,
-            "command": "python -m made --json /there/it --seed 1", "left_out": "all", "findings": ["one"], "steps": [step]}  # fmt: skip
+            "command": "python -m made --json /there/it --seed 1", "left_out": "all",
+            "findings": ["one"], "steps": [step]}  # fmt: skip
     document = tomlkit.parse((DOCS / "capacity.toml").read_text())
     assert figures.take(document, made) == figures.take(document, made) == ["day.of-930"]
     capacity = figures.read(tomllib.loads(tomlkit.dumps(document)))
