--- a/benchmarks/capacity/figures.py
+++ b/benchmarks/capacity/figures.py
@@ -40,6 +40,7 @@
        "findings": list, "steps": list}  # fmt: skip
 STEP = {"step": str, "entries": int, "bytes": int, "cpu_s": float, "longest_ms": float, "longest_kind": str,
         "open": int}  # fmt: skip
+STEP_OPTIONAL = {"kinds": str}
 
 
 class Faulty(Exception):
@@ -113,6 +114,7 @@
     longest_ms: float
     longest_kind: str
     open: int
+    kinds: str = ""  # of a step without entries: what was done, the longest of each in milliseconds
 
 
 @dataclass(frozen=True)
@@ -219,7 +221,8 @@
             _day(reading, f"day.{name}", fields["day"])
             if not all(isinstance(text, str) for text in fields["findings"]):
                 reading.faults.append(f"day.{name}.findings: texts are wanted")
-            read_steps = [reading.fields(step, f"day.{name}.steps.{n}", STEP) for n, step in enumerate(fields["steps"])]
+            read_steps = [reading.fields(step, f"day.{name}.steps.{n}", STEP, STEP_OPTIONAL)
+                          for n, step in enumerate(fields["steps"])]
             days[name] = Day(**{**fields, "steps": [Step(**step) for step in read_steps if step]})
     if reading.faults:
         raise Faulty("\n".join(reading.faults))
@@ -305,6 +308,10 @@
         told = {name: one for name, one in reading.table(held, f"measured.steps.{n}").items() if name in STEP}
         if step := reading.fields(told, f"measured.steps.{n}", STEP):
             steps.append({name: rounded(one) if STEP[name] is float else one for name, one in step.items()})
+            kinds = reading.table(held.get("kinds", {}), f"measured.steps.{n}.kinds") if not step["entries"] else {}
+            if all(isinstance(one, Mapping) and kind_is(one.get("longest_s"), float) for one in kinds.values()):
+                told = {kind: f"{one['longest_s'] * 1000:.3g} ms" for kind, one in kinds.items()}
+                steps[-1] |= {"kinds": ", ".join(f"{kind} {ms}" for kind, ms in told.items())} if told else {}
     if reading.faults or top is None:
         raise Faulty("\n".join(reading.faults))
     table = tomlkit.table()
@@ -312,7 +319,7 @@
         table[name] = top[name]
     table["command"], table["steps"] = _command(top["command"]), tomlkit.array()
     for step in steps:
-        table["steps"].add_line({name: step[name] for name in STEP})
+        table["steps"].add_line({name: step[name] for name in (*STEP, *STEP_OPTIONAL) if name in step})
     table["steps"].add_line(indent="")
     name = f"of-{top['hosts']}"
     document.setdefault("day", tomlkit.table(is_super_table=True))[name] = table
--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -250,10 +250,10 @@
     rows, told = [], []
     for one in sorted(capacity.days.values(), key=lambda d: -d.hosts):
         for step in one.steps:
-            longest = f"{number(step.longest_ms)} ({step.longest_kind})" if step.longest_kind else "-"
+            longest = f"{number(step.longest_ms)} ({step.longest_kind})" if step.longest_kind else step.kinds or "-"
+            share = number(step.longest_ms / ELECTION_MS) if step.longest_kind else ""
             rows.append([plain(one.hosts), plain(one.directors), step.step, plain(step.entries),
-                         number(step.bytes / MEGA), number(step.cpu_s), longest,
-                         number(step.longest_ms / ELECTION_MS), plain(step.open)])  # fmt: skip
+                         number(step.bytes / MEGA), number(step.cpu_s), longest, share, plain(step.open)])  # fmt: skip
         told += ["", f"`{one.command}`, {one.day}, {one.hours} hours. Left out: {one.left_out}"]
         told += [f"- {text}" for text in one.findings]
     head = ["hosts", "directors", "step", "entries", "MB", "processor s", "longest entry, ms", "of an election",
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -190,13 +190,15 @@
 def test_a_virtual_day_is_taken_by_its_hosts_without_the_file_that_it_wrote():
     step = {"step": "rack", "entries": 9, "bytes": 90, "cpu_s": 0.12345678, "longest_ms": 1.0, "longest_kind": "list",
             "open": 2, "kinds": {}}  # fmt: skip
+    still = step | {"entries": 0, "longest_kind": "", "kinds": {"part": {"longest_s": 0.0054321}}}
     made = {"what": "day", "hosts": 930, "directors": 120, "hours": 24, "day": "2026-12-02", "seed": 1,
             "command": "python -m made --json /there/it --seed 1", "left_out": "all",
-            "findings": ["one"], "steps": [step]}  # fmt: skip
+            "findings": ["one"], "steps": [step, still]}  # fmt: skip
     document = tomlkit.parse((DOCS / "capacity.toml").read_text())
     assert figures.take(document, made) == figures.take(document, made) == ["day.of-930"]
     capacity = figures.read(tomllib.loads(tomlkit.dumps(document)))
     assert capacity.days["of-930"].steps[0].cpu_s == 0.123457
+    assert "| rack | 0 | 9.0e-05 | 0.123 | part 5.43 ms |  | 2 |" in "\n".join(tables.days(capacity))
     assert capacity.days["of-930"].command == "python -m made --seed 1"
     assert "- one" in tables.days(capacity)
     with pytest.raises(figures.Faulty, match="measured.steps.0.open: missing"):
