--- a/benchmarks/scale/_machine.py
+++ b/benchmarks/scale/_machine.py
@@ -3,12 +3,14 @@
 Where others keep the machine busy the same work takes up to twice the processor time, by turns of seconds or minutes,
 and a slope taken across such a turn is the machine's. So a fixed piece of work is timed on the same core before and
 after each span, and the span's processor time is told as if that piece had taken `UNDISTURBED_MS`. What it took is a
-figure of its own (`yardstick_ms`): times that and over this is what the clock said.
+figure of its own (`yardstick_ms`): times that, and over this, is what the clock said.
 """
 
 import os
 import time
 
+import gevent
+
 UNDISTURBED_MS = 1.6  # 2026-12-02: 1.5 to 1.8 in quiet spans, 3.1 to 3.7 in busy ones (AMD EPYC, Python 3.11)
 STEADY = 1.25  # a span in which the machine changed more than this is none
 
@@ -30,11 +32,37 @@
     mine = os.sched_getaffinity(0)
     os.sched_setaffinity(0, {core})
     try:
-        return yardstick_ms()
+        return yardstick_ms(3)
     finally:
         os.sched_setaffinity(0, mine)
 
 
+class Beside:
+    """A block during which the piece of work is timed on somebody else's core, twice a second."""
+
+    def __init__(self, core):
+        self.core, self.found = core, []
+
+    def __enter__(self):
+        self.running = gevent.spawn(self._run)
+        return self
+
+    def _run(self):
+        while True:
+            self.found.append(yardstick_on(self.core))
+            gevent.sleep(0.5)
+
+    def __exit__(self, *_):
+        self.running.kill()
+
+    def mean_ms(self):
+        return sum(self.found) / len(self.found)
+
+    def undisturbed(self, cpu):
+        """What a processor time of the block would have been with nobody else there."""
+        return cpu * UNDISTURBED_MS / self.mean_ms()
+
+
 def cores():
     """The core of the program that is measured, and those of all that stands around it."""
     first, *rest = sorted(os.sched_getaffinity(0))
@@ -44,17 +72,14 @@
 class Spans:
     """Spans of a measurement, each with what the machine was like; the middle one of those in which it was steady."""
 
-    def __init__(self, core=None):
-        self.core, self.found, self.yardsticks = core, [], []
-
-    def yardstick(self):
-        return yardstick_ms() if self.core is None else yardstick_on(self.core)
+    def __init__(self):
+        self.found, self.yardsticks = [], []
 
     def take(self, play):
         """`play()` gives figures by name, all of them processor time."""
-        before = self.yardstick()
+        before = yardstick_ms()
         figures = play()
-        after = self.yardstick()
+        after = yardstick_ms()
         slow = (before + after) / 2 / UNDISTURBED_MS
         self.yardsticks.append((before + after) / 2)
         steady = max(before, after) <= STEADY * min(before, after)
