--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -90,9 +90,10 @@
         return 0
 
 
-def director(registry, proxies, pace=100_000_000, queue=10_000_000):
+def director(registry, proxies, pace=100_000_000, queue=10_000_000, wait=60):
+    """`wait`: whole seconds that a poll is held at the most."""
     port = free_port()
     text = TERMS.format(registry=registry.port, port=port, proxies=proxies, pace=pace, queue=queue)
     path = Path(tempfile.mkdtemp()) / "measured.sexp"
-    path.write_text(text)
+    path.write_text(text.replace("(wait 60s)", f"(wait {wait}s)"))
     return Process("-m", "ironfall", "director", str(path), "--seed", "1", port=port)
--- a/benchmarks/scale/_machine.py
+++ b/benchmarks/scale/_machine.py
@@ -72,14 +72,14 @@
 class Spans:
     """Spans of a measurement, each with what the machine was like; the middle one of those in which it was steady."""
 
-    def __init__(self):
-        self.found, self.yardsticks = [], []
+    def __init__(self, yardstick=yardstick_ms):
+        self.yardstick, self.found, self.yardsticks = yardstick, [], []
 
     def take(self, play):
         """`play()` gives figures by name, all of them processor time."""
-        before = yardstick_ms()
+        before = self.yardstick()
         figures = play()
-        after = yardstick_ms()
+        after = self.yardstick()
         slow = (before + after) / 2 / UNDISTURBED_MS
         self.yardsticks.append((before + after) / 2)
         steady = max(before, after) <= STEADY * min(before, after)
