Count what an entry walks over and what a member at rest puts into the log

With them a measurement of releases by directors under the virtual clock, and one of the time from directors' holding a host for silent to the ledger's counting it as out.

--- a/benchmarks/scale/_hollow.py
+++ b/benchmarks/scale/_hollow.py
@@ -3,7 +3,8 @@
     python -m benchmarks.scale._hollow member|agent TERMS FIRST COUNT SEED
 
 The edge is real: membership and word, agent and fence, the keepers' client and HTTP. Such a process says `ready`,
-begins at `go`, answers each `tell` with a line of JSON, and ends when nobody writes to it any more.
+begins at `go`, answers each `tell` with a line of JSON, and ends when nobody writes to it any more. At each `silent`
+one host more, h0 first, is silent to all of its directors.
 """
 
 import json
@@ -22,6 +23,7 @@
 
 from benchmarks.keepers import bare
 from ironfall.api import http
+from ironfall.director import explain
 from ironfall.director.channel import Channel
 from ironfall.director.clock import Clock
 from ironfall.director.member import Member, Way
@@ -80,7 +82,7 @@
     """What a process's hollow members met, for one who asks."""
 
     def __init__(self):
-        self.counts, self.took, self.joined, self.clients = {}, [], [], []
+        self.counts, self.took, self.joined, self.clients, self.silent = {}, [], [], [], []
 
     def count(self, what):
         self.counts[what] = self.counts.get(what, 0) + 1
@@ -110,6 +112,16 @@
                 "counts": self.counts | tries, "took": took, "joined": self.joined, "at": time.monotonic()}  # fmt: skip
 
 
+class MutesByName(dict):
+    """Of a roster: hosts by id, all that the keepers list among them."""
+
+    def __contains__(self, host):
+        return True
+
+    def __getitem__(self, host):
+        return f"{host.decode()}@10.0.0.1:1"
+
+
 def live(terms, name, tally):
     """What a member reads of its director: records without their loop, hosts in tables and proxies bound to them."""
     classes = len(terms.classes)
@@ -131,8 +143,8 @@
         session.released = session.confirmed = publication.version
     return SimpleNamespace(
         terms=terms, publication=publication, sessions=sessions, channel=Channel(terms.lines_each_second), epoch=1,
-        clock=Clock(time.monotonic), roster=SimpleNamespace(ids=ids, hosts={i: h for h, i in ids.items()}),
-        decisions=None, log=Quiet(), count=tally.count,
+        clock=Clock(time.monotonic), roster=SimpleNamespace(ids=ids, hosts=MutesByName()),
+        decisions=tally, log=Quiet(), count=tally.count,
     )  # fmt: skip
 
 
@@ -174,13 +186,15 @@
 
 
 def serve(role, path, first, count, seed):
-    client.HttpClient = CountedClient
+    client.HttpClient, explain.silent = CountedClient, lambda tally: tally.silent
     terms, tally = read_terms(path, Path(path).read_text()), Tally()
     said = FileObject(sys.stdin.buffer, "rb")
     print("ready", flush=True)
     while line := said.readline().strip():
         if line == b"go":
             {"member": members, "agent": agents}[role](terms, int(first), int(count), int(seed), tally)
+        elif line == b"silent":
+            tally.silent.append(f"h{len(tally.silent)}".encode())
         else:
             print(json.dumps(tally.told()), flush=True)
 
--- a/benchmarks/scale/_ledgers.py
+++ b/benchmarks/scale/_ledgers.py
@@ -62,9 +62,9 @@
 
 
 class Fleet:
-    """`tenants`: of the whole fleet; none given: those of its services."""
+    """`tenants`, `zones`: of the whole fleet; none given: those of its services, and as many as so many hosts have."""
 
-    def __init__(self, hosts, directors, tenants=0):
+    def __init__(self, hosts, directors, tenants=0, zones=0):
         self.ledger, self.index, self.now, self.number = Ledger(), 0, 36_000 * SECOND, 0
         half = 500_000
         rules = Rules(budgets=(("fleet", 1 << 30, 100_000), ("zone", 1 << 30, 200_000), ("kind", 1 << 30, 200_000),
@@ -75,14 +75,14 @@
             self.do("load", **{"class": kind}, hours=[hosts * 5] * 24)
         self.hosts = [f"h{n}" for n in range(hosts)]
         self.directors = [f"d{n}" for n in range(directors)]
-        zones = -(-hosts // ZONE)
+        zones = zones or -(-hosts // ZONE)
         for n, name in enumerate(self.directors):
             assert "ok" in self.do("join", director=name, inc=1, zone=f"z{n % zones}")
         for start in range(0, directors, 1_000):
             said = {name: self.word() for name in self.directors[start : start + 1_000]}
             assert self.do("words", directors=said) == {"ok": True}
         for start in range(0, hosts, LISTED):
-            lines = {f"h{n}": self.line(n, hosts, tenants) for n in range(start, min(hosts, start + LISTED))}
+            lines = {f"h{n}": self.line(n, zones, tenants) for n in range(start, min(hosts, start + LISTED))}
             assert "ok" in self.do("list", v=start + 1, hosts=lines)
         self.do("hold", holder="work", inc=1)
         # Far apart, so that no scope is short. One drains, the others are to begin.
@@ -92,12 +92,12 @@
         assert answer["ok"]["state"] == dict.fromkeys(units, "granted"), answer
         assert "ok" in self.do("drain", holder="work", inc=1, unit=units[0], token=answer["ok"]["token"])
 
-    def line(self, n, hosts, tenants):
+    def line(self, n, zones, tenants):
         service, place = divmod(n, SERVICE)
         own = [f"t{service}-{t}" for t in range(TENANTS) if place in (t % SERVICE, (t + SERVICE // 2) % SERVICE)]
         if tenants:
             own = sorted({f"t{t % tenants}" for t in range(7 * n, 7 * n + 7)})
-        return {"zone": f"z{n % -(-hosts // ZONE)}", "kind": f"k{n % KINDS}", "tenants": own, "strength": 100,
+        return {"zone": f"z{n % zones}", "kind": f"k{n % KINDS}", "tenants": own, "strength": 100,
                 "classes": 15, "ready": True, "token": 0, "started": 0}  # fmt: skip
 
     def word(self):
