--- /dev/null
+++ b/ironfall/lab/observers_sim.py
@@ -0,0 +1,634 @@
+"""Seeded histories of observers: the real observers, collector, ledger and members' side, all around them emulated.
+
+Each machine has a clock of its own with its own drift. Messages come late, twice or never; observers are killed,
+stopped and continued, cut off on one side or both, restarted as an older incarnation; leaders change; members die,
+restart and go from one observer to the other; a zone is apart for long. Then all heals, and the ledger must know what
+is true.
+
+    python -m ironfall.lab.observers_sim [SEEDS [FIRST]]
+"""
+
+import heapq
+import json
+import random
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from ironfall.lab.observers_judge import Broken, Judge
+from ironfall.observers import Collector, Homing, Observer
+from ironfall.permits import Ledger, Rules
+from ironfall.permits.terms import MILLION, SECOND
+
+FAULTED, CALM = 100, 80  # seconds
+TIMEOUT = SECOND  # of a beat or a report
+RULES = Rules(
+    lease=6 * SECOND, drift=10_000, age=20 * SECOND, empty=2 * SECOND, begin=20 * SECOND, drain=40 * SECOND,
+    back=30 * SECOND, unplanned=1_000_000, pause=4 * SECOND, warming=0, bare=1_000 * SECOND, grace=1_000 * SECOND,
+    budgets=(("fleet", 4, 1_000_000), ("zone", 3, 1_000_000), ("directors", 2, 1_000_000)),
+)  # fmt: skip
+
+
+class Clock:
+    """One machine's: monotonic, drifting by its own part of a million, from a zero of its own."""
+
+    def __init__(self, chance: random.Random, drift: int) -> None:
+        self.zero, self.rate = chance.randrange(10**9), MILLION + chance.randint(-drift, drift)
+
+    def at(self, time: int) -> int:
+        return self.zero + time * self.rate // MILLION
+
+
+@dataclass
+class Unit:
+    """A director or a host with its agent: the truth."""
+
+    name: str
+    zone: str
+    clock: Clock
+    homing: Homing
+    alive: bool = True
+    cut: bool = False  # its beats do not come through
+    inc: int = 1
+    asked: int = 0  # the message under way
+    proxies: int = 0
+    drained: dict[str, int] = field(default_factory=dict)
+    silent: list[str] = field(default_factory=list)
+    leaving: bool = False
+    up: bool = True
+    token: int = 0  # the newest order acted on
+    quiet: int = 0  # since when nothing comes
+    mark: str = "ready"  # a host's, at the registry
+    mark_token: int = 0
+    ghost: bool = False  # it came while its zone was apart, and went for good
+
+    def word(self) -> dict[str, Any]:
+        if self.name.startswith("host/"):
+            return {"up": self.up, "token": self.token}
+        return {"proxies": self.proxies, "binding": 5, "waiting": 3, "drained": dict(self.drained), "near": 100_000,
+                "silent": sorted(self.silent), "leaving": self.leaving, "token": self.token}  # fmt: skip
+
+
+@dataclass
+class Post:
+    """An observer's machine."""
+
+    name: str
+    zone: str
+    clock: Clock
+    core: Observer
+    up: bool = True
+    stopped: bool = False  # by a signal: what comes waits
+    deaf: bool = False  # the leader's answers do not come
+    mute: bool = False  # nor do its reports go
+    apart: bool = False  # from its members
+    waits: list[Callable[[], None]] = field(default_factory=list)
+    life: int = 0  # counts up with each start
+
+
+class Sim:
+    def __init__(self, seed: int, observer: type[Observer] = Observer, collector: type[Collector] = Collector,
+                 ledger: type[Ledger] = Ledger, apart: bool = False) -> None:  # fmt: skip
+        """`apart`: one zone is cut off from the keepers for most of the history."""
+        self.chance = pick = random.Random(seed)
+        self.make_observer, self.make_collector = observer, collector
+        self.ledger, self.index, self.now, self.seq = ledger(), 0, 0, 0
+        self.way: list[tuple[int, int, Callable[[], None]]] = []
+        self.calm, self.apart = False, apart
+        self.history: list[tuple[int, bytes, bytes]] = []
+        self.zones = [f"z{n}" for n in range(pick.randint(2, 3))]
+        self.wall, self.leader_clock, self.reign = 10**13, Clock(pick, 4_000), 0
+        self.leads, self.leads_at, self.changed_at = False, 0, 0
+        self.judge = Judge(self, RULES)
+        self.put("rules", rules=RULES.facts())
+        self.posts: dict[str, Post] = {}
+        for zone in self.zones:
+            for letter in "ab":
+                clock = Clock(pick, 4_000)
+                name = f"o-{zone}-{letter}"
+                self.posts[name] = Post(name, zone, clock, self.core(name, zone, 1, clock))
+        self.terms = {post.name: post.zone for post in self.posts.values()}
+        self.units: dict[str, Unit] = {}
+        for zone in self.zones:
+            mine = [n for n, z in self.terms.items() if z == zone]
+            for n in range(pick.randint(2, 4)):
+                self.unit(f"director/d{n}-{zone}", zone, mine)
+            for n in range(pick.randint(3, 5)):
+                self.unit(f"host/h{n}-{zone}", zone, mine)
+        self.version = 0
+        self.told: dict[str, Any] = {}
+        self.number = 0
+        self.tokens: dict[str, int] = {}
+        self.until: dict[str, int] = {}
+        self.collector: Collector | None = None
+        self.lead()
+
+    def core(self, name: str, zone: str, inc: int, clock: Clock) -> Observer:
+        return self.make_observer(name, zone, inc, clock.at(self.now), RULES.lease, RULES.drift, RULES.near, 1_024, 2)
+
+    def unit(self, name: str, zone: str, observers: list[str]) -> None:
+        clock, chance = Clock(self.chance, 4_000), random.Random(self.chance.random())
+        self.units[name] = Unit(name, zone, clock, Homing(zone, observers, clock.at(0), RULES.lease, chance),
+                                proxies=self.chance.randint(0, 12), quiet=0)  # fmt: skip
+
+    # the log
+
+    def put(self, kind: str, **fields: Any) -> Any:
+        """An entry, agreed at once; the leader's wall may have been set back."""
+        self.index += 1
+        packed = json.dumps({"k": kind, "at": max(self.log_time(), self.ledger.now)} | fields).encode()
+        before = self.judge.before(json.loads(packed))
+        answer = self.ledger.apply(self.index, packed)
+        self.history.append((self.index, packed, answer))
+        self.judge.see(json.loads(packed), json.loads(answer), before)
+        return json.loads(answer)
+
+    def log_time(self) -> int:
+        return self.wall + self.now
+
+    def later(self, wait: int, act: Callable[[], None]) -> None:
+        self.seq += 1
+        heapq.heappush(self.way, (self.now + wait, self.seq, act))
+
+    def late(self) -> int:
+        """How long a message is on its way."""
+        if self.calm or self.chance.random() < 0.9:
+            return self.chance.randint(5, 300)
+        return self.chance.randrange(4 * SECOND)
+
+    def send(self, act: Callable[[], None]) -> None:
+        for _ in range(1 if self.calm else self.chance.choices([0, 1, 2], [2, 94, 4])[0]):
+            self.later(self.late(), act)
+
+    # leaders
+
+    def lead(self) -> None:
+        self.reign += 1
+        self.leads, self.leads_at = True, self.now
+        self.leader_clock = Clock(self.chance, 4_000)
+        self.wall += 0 if self.calm else self.chance.randint(-SECOND // 4, SECOND // 4)
+        self.collector = self.make_collector(self.reign, self.leader_clock.at(self.now), self.terms, self.ledger)
+        self.later(SECOND, lambda reign=self.reign: self.second(reign))  # type: ignore[misc]
+
+    def second(self, reign: int) -> None:
+        """The leader's beat."""
+        if reign != self.reign or not self.leads or self.collector is None:
+            return
+        self.put("tick")
+        for role, name, inc in list(self.ledger.due()):
+            self.put("lapse", role=role, name=name, inc=inc)
+        made = max(self.log_time(), self.ledger.now)
+        entries = list(self.collector.digests(self.leader_clock.at(self.now), made))
+        self.judge.digests(entries)
+        for entry in entries:
+            if not self.calm and self.chance.random() < 0.01:
+                break  # not agreed
+            self.put(**{("kind" if k == "k" else k): v for k, v in entry.items()})
+        self.list()
+        self.marks()
+        self.judge.second()
+        self.later(SECOND, lambda: self.second(reign))
+
+    # observers
+
+    def observe(self, post: Post, life: int) -> None:
+        if life != post.life:
+            return
+        if post.stopped:
+            post.waits.append(lambda: self.observe(post, life))
+            return
+        report, made = json.loads(json.dumps(post.core.report(post.clock.at(self.now)))), self.now
+        if not post.mute:
+            self.send(lambda: self.take_report(post, life, made, report))
+        self.later(SECOND * 9 // 10 + self.chance.randrange(SECOND // 5), lambda: self.observe(post, life))
+
+    def take_report(self, post: Post, life: int, made: int, report: dict[str, Any]) -> None:
+        if not self.leads or self.collector is None or post.mute:
+            return
+        answer = json.loads(json.dumps(self.collector.report(self.leader_clock.at(self.now), report)))
+        self.judge.reported(post, made, report, answer)
+        if not post.deaf:
+            self.send(lambda: self.run_at(post, life, lambda: post.core.reported(
+                post.clock.at(self.now), report, answer)))  # fmt: skip
+
+    def run_at(self, post: Post, life: int, act: Callable[[], None]) -> None:
+        if life != post.life or not post.up:
+            return
+        if post.stopped:
+            post.waits.append(act)
+        else:
+            act()
+
+    # members
+
+    def beat(self, unit: Unit) -> None:
+        """One step of a member's own loop."""
+        now = unit.clock.at(self.now)
+        if unit.alive and not unit.asked and now >= unit.homing.due:
+            quiet = max(0, now - unit.clock.at(unit.quiet)) if unit.up and unit.mark != "ready" else 0
+            message = json.loads(json.dumps(unit.homing.message(now, {unit.name: (unit.inc, unit.word())},
+                                                                {unit.name: quiet})))  # fmt: skip
+            self.judge.said(unit, message)
+            self.seq += 1
+            unit.asked = asked = self.seq
+            home = unit.homing.home
+            if not unit.cut:
+                self.send(lambda: self.hear(unit, asked, home, message))
+            self.later(TIMEOUT, lambda: self.timeout(unit, asked, home))
+        self.later(SECOND // 20, lambda: self.beat(unit))
+
+    def hear(self, unit: Unit, asked: int, name: str, message: dict[str, Any]) -> None:
+        post = self.posts[name]
+        life = post.life
+        if post.apart or unit.cut:
+            return
+
+        def act() -> None:
+            answer = json.loads(json.dumps(post.core.beats(post.clock.at(self.now), message)))
+            self.judge.heard(post, unit, message, answer)
+            self.later(self.late(), lambda: self.answered(unit, asked, name, answer))
+
+        self.run_at(post, life, act)
+
+    def answered(self, unit: Unit, asked: int, name: str, answer: dict[str, Any]) -> None:
+        if unit.asked != asked or not unit.alive or unit.cut:
+            return
+        unit.asked = 0
+        unit.homing.answered(unit.clock.at(self.now), name, answer)
+        if unit.homing.over.get(unit.name, -1) >= unit.inc:
+            unit.inc = unit.homing.over[unit.name] + 1
+
+    def timeout(self, unit: Unit, asked: int, name: str) -> None:
+        if unit.asked == asked and unit.alive:
+            unit.asked = 0
+            unit.homing.failed(unit.clock.at(self.now), name)
+
+    # faults
+
+    def run(self) -> None:
+        """Raises `Broken` for what does not hold."""
+        for unit in self.units.values():
+            self.later(self.chance.randrange(SECOND), lambda u=unit: self.beat(u))  # type: ignore[misc]
+        for post in self.posts.values():
+            self.later(self.chance.randrange(SECOND), lambda p=post: self.observe(p, 0))  # type: ignore[misc]
+        self.later(SECOND, self.step)
+        while self.way and self.now <= (FAULTED + CALM) * SECOND:
+            self.now, _, act = heapq.heappop(self.way)
+            act()
+        self.judge.finish()
+
+    def step(self) -> None:
+        """Each second: faults, and work."""
+        if self.now < FAULTED * SECOND:
+            if self.now > 15 * SECOND:
+                self.faults()
+        elif not self.calm:
+            self.heal()
+        if self.now == (FAULTED + CALM // 2) * SECOND and "director/ghost" in self.units:
+            self.judge.ghost(self.units["director/ghost"])
+            self.put("forget", unit="director/ghost", by="ann")  # its proxies stand against every `out`
+        self.live()
+        self.work()
+        self.later(SECOND, self.step)
+
+    def faults(self) -> None:
+        pick = self.chance
+        if self.apart:
+            if self.now == 30 * SECOND:
+                mine = [n for n, z in self.terms.items() if z == self.zones[0]]
+                self.unit("director/ghost", self.zones[0], mine)
+                ghost = self.units["director/ghost"]
+                ghost.ghost, ghost.proxies = True, 7
+                self.beat(ghost)
+            elif self.now == 60 * SECOND:
+                self.units["director/ghost"].alive = False
+            for post in self.posts.values():
+                if post.zone == self.zones[0]:
+                    post.mute = post.deaf = True
+        if pick.random() < 0.06:
+            post = pick.choice(list(self.posts.values()))
+            what = pick.choice(["kill", "stop", "deaf", "mute", "apart", "both"])
+            if what == "kill":
+                self.kill(post, pick.randint(0, 20) * SECOND)
+            elif what == "stop" and not post.stopped:
+                post.stopped = True
+                self.later(pick.randint(1, 12) * SECOND, lambda: self.go_on(post))
+            elif what == "both":
+                for other in self.posts.values():
+                    if other.zone == post.zone:
+                        self.kill(other, pick.randint(0, 25) * SECOND)
+            else:
+                setattr(post, what, True)
+                self.later(pick.randint(1, 20) * SECOND, lambda: setattr(post, what, False))
+        if pick.random() < 0.03:
+            self.leads = False
+            self.later(pick.randint(1, 5) * SECOND, lambda: None if self.leads else self.lead())
+        if pick.random() < 0.06:
+            unit = pick.choice(list(self.units.values()))
+            if unit.alive and not unit.ghost:
+                unit.alive, unit.asked = False, 0
+                self.later(pick.randint(1, 30) * SECOND, lambda: self.rise(unit))
+        if pick.random() < 0.03:
+            unit = pick.choice(list(self.units.values()))
+            unit.cut = True
+            self.later(pick.randint(1, 12) * SECOND, lambda: setattr(unit, "cut", False))
+        if pick.random() < 0.01:
+            self.put("halt", scope="all", by="ann", reason="a look")
+            self.later(5 * SECOND, lambda: self.put("lift", scope="all", by="ann") and None)
+
+    def kill(self, post: Post, wait: int) -> None:
+        if not post.up:
+            return
+        post.up, post.stopped, post.waits, post.life = False, False, [], post.life + 1
+        self.judge.fell(post)
+        self.later(wait, lambda: self.restart(post))
+
+    def restart(self, post: Post) -> None:
+        if post.up:
+            return
+        # Now and then its clock was set back meanwhile: an older incarnation.
+        inc = post.core.inc + (1 if self.calm or self.chance.random() < 0.8 else -1)
+        post.up, post.core = True, self.core(post.name, post.zone, max(0, inc), post.clock)
+        self.observe(post, post.life)
+
+    def go_on(self, post: Post) -> None:
+        post.stopped = False
+        waits, post.waits = post.waits, []
+        for act in waits:
+            act()
+
+    def rise(self, unit: Unit) -> None:
+        if not unit.alive and not unit.ghost:
+            unit.alive, unit.inc, unit.asked, unit.drained = True, unit.inc + 1, 0, {}
+            unit.up, unit.quiet, unit.leaving, unit.silent = unit.mark != "stopped", self.now, False, []
+            unit.homing.stamp, unit.homing.words = None, {}  # its process is a new one
+            unit.proxies = self.chance.randint(0, 12)
+
+    def heal(self) -> None:
+        self.calm = True
+        for unit in self.units.values():
+            unit.cut = False
+            self.rise(unit)
+        for post in self.posts.values():
+            post.deaf = post.mute = post.apart = False
+            if post.stopped:
+                self.go_on(post)
+            self.restart(post)
+        if not self.leads:
+            self.lead()
+
+    # work
+
+    def live(self) -> None:
+        """What directors and hosts do by themselves."""
+        pick = self.chance
+        marked = {u.name[5:]: u.mark_token for u in self.units.values() if u.mark == "leaving"}
+        for unit in self.units.values():
+            if not unit.alive:
+                continue
+            if unit.name.startswith("director/"):
+                if not self.calm:
+                    unit.proxies = max(0, unit.proxies + pick.choice([0, 0, 0, 0, -1, 1, 3]))
+                unit.drained = {h: t for h, t in unit.drained.items() if marked.get(h) == t}
+                for host, token in marked.items():
+                    if pick.random() < 0.5:
+                        unit.drained[host] = token
+                    elif not self.calm and pick.random() < 0.1:
+                        unit.drained.pop(host, None)
+                unit.silent = [u.name[5:] for u in self.units.values() if u.name.startswith("host/") and not u.alive]
+            elif not self.calm and pick.random() < 0.03:
+                unit.quiet = self.now  # something came after all
+
+    def work(self) -> None:
+        pick = self.chance
+        if not self.leads:
+            return
+        self.put("hold", holder="s", inc=1)
+        if self.now < (FAULTED + CALM // 8) * SECOND and pick.random() < 0.2:
+            self.number += 1
+            host = pick.choice([u for u in self.units if u.startswith("host/")])
+            self.put("ask", holder="s", inc=1, n=self.number, units=[host], length=5 * SECOND)
+        for unit, permit in list(self.ledger.permits.items()):
+            step = {"granted": "drain", "draining": "out", "empty": "out", "out": "back"}.get(permit.state)
+            if step == "out" and permit.state == "draining" and pick.random() < 0.9:
+                step = None
+            if step == "back" and self.now < self.until.setdefault(unit, self.now + pick.randrange(8) * SECOND):
+                step = None
+            if step and pick.random() < 0.8:
+                self.put(step, holder="s", inc=1, unit=unit, token=permit.token)
+            if permit.state == "lost":
+                self.put("adopt", holder="s", inc=1, unit=unit)
+        if self.calm:
+            for scope in list(self.ledger.halts):
+                self.put("lift", scope=scope, by="ann")
+
+    def rests(self) -> bool:
+        """Whether all has long been calm, and nothing is out or asked."""
+        return self.now > (FAULTED + CALM - 15) * SECOND and not self.ledger.permits
+
+    def known(self, zone: str) -> bool:
+        """Whether the ledger has directors there."""
+        return any(d.zone == zone for d in self.ledger.directors.values())
+
+    def list(self) -> None:
+        lines = {}
+        for unit in self.units.values():
+            if unit.name.startswith("host/"):
+                ready = unit.mark == "ready" and unit.up and unit.alive
+                lines[unit.name[5:]] = {"zone": unit.zone, "kind": "k", "tenants": ["t"], "strength": 10, "classes": 1,
+                                        "ready": ready, "token": unit.mark_token}  # fmt: skip
+        changed = {n: line for n, line in lines.items() if self.told.get(n) != line or n not in self.ledger.hosts}
+        if changed:
+            self.version += 1
+            self.put("list", v=self.version, hosts=changed)
+            self.told = lines
+
+    def marks(self) -> None:
+        """Registry and agents poll the keepers."""
+        for name, want, token in list(self.ledger.marks()):
+            unit = self.units.get(name)
+            if unit is not None and (self.calm or self.chance.random() < 0.7):
+                self.later(self.late(), lambda u=unit, w=want, t=token: self.do(u, w, t))  # type: ignore[misc]
+
+    def do(self, unit: Unit, want: str, token: int) -> None:
+        if token < max(unit.mark_token, unit.token):
+            return
+        if want != "starting" and (unit.mark_token, unit.mark) != (token, "ready"):
+            if unit.mark == "ready" and want != "ready":
+                unit.quiet = self.now + self.chance.randrange(2 * SECOND)
+            unit.mark, unit.mark_token = want, token
+        if unit.alive:
+            if want == "stopped":
+                unit.up, unit.token = False, token
+            elif want in ("starting", "ready"):
+                if not unit.up:
+                    unit.up, unit.inc, unit.quiet = True, unit.inc + 1, self.now
+                unit.token = token
+
+
+class RoundsAges(Observer):
+    def report(self, now: int) -> dict[str, Any]:
+        return super().report(now) | {"floor": 0, "late": {}}
+
+
+class CountsFromArrival(Observer):
+    def _proven(self, now: int, stamp: tuple[int, int] | None, since: int) -> int:
+        return -1 if super()._proven(now, stamp, since) < 0 else now
+
+
+class TakesAnyStamp(Observer):
+    def _proven(self, now: int, stamp: tuple[int, int] | None, since: int) -> int:
+        return now if stamp is not None else -1
+
+
+class TakesOldWords(Observer):
+    def _beat(self, now: int, heard: int, unit: str, beat: dict[str, Any]) -> str:
+        if (one := self.members.get(unit)) is not None and beat["word"] is not None:
+            one.n = -1 if one.inc <= beat["inc"] else one.n
+        return super()._beat(now, heard, unit, beat)
+
+
+class ForgetsWhoIsGone(Observer):
+    def report(self, now: int) -> dict[str, Any]:
+        for unit in [u for u, one in self.members.items() if now - one.heard >= 2 * self.lease]:
+            del self.members[unit], self.changes[unit]
+        return super().report(now)
+
+
+class NeverDoubtsItself(Observer):
+    def report(self, now: int) -> dict[str, Any]:
+        return super().report(now) | {"watching": 1 << 40}
+
+
+class BuriesThemTogether(Collector):
+    def _watched(self, now: int, zone: str) -> bool:
+        return True
+
+    def unknown(self, now: int, zone: str) -> bool:
+        return False
+
+
+class KeepsThemAlive(Collector):
+    def _heard(self, seat: Any, unit: str, one: Any) -> int:
+        return int(super()._heard(seat, unit, one) if seat.floor < 0 else seat.proven)
+
+
+class KnowsEveryZone(Collector):
+    def unknown(self, now: int, zone: str) -> bool:
+        return False
+
+
+class TrustsHalfATable(Collector):
+    def _take(self, now: int, name: str, seat: Any, said: dict[str, Any], when: Any) -> None:
+        super()._take(now, name, seat, said, when)
+        seat.whole, seat.floor = True, when(said["floor"])
+
+
+class TakesAnyReign(Collector):
+    def _mine(self, now: int, stamp: list[int] | None) -> bool:
+        if stamp is not None:
+            stamp[1] = now
+        return stamp is not None
+
+
+class TellsAll(Collector):
+    def _differences(self, now: int, parts: Any) -> set[str]:
+        for unit in self.where:
+            if (one := self.evidence(unit)) is not None and unit.startswith("host/") and unit[5:] in self.ledger.hosts:
+                parts.put({"hosts": {unit[5:]: [one.inc, one.n, one.word["up"], 0, one.word["token"],
+                                                max(0, now - one.heard)]}})  # fmt: skip
+        return super()._differences(now, parts)
+
+
+class HearsTheFormer(Collector):
+    def evidence(self, unit: str) -> Any:
+        names = sorted(self.where.get(unit, ()), key=lambda n: self.seats[n].members[unit].changed)
+        kept, self.where[unit] = self.where.get(unit, set()), set(names[:1])
+        try:
+            return super().evidence(unit)
+        finally:
+            self.where[unit] = kept
+
+
+class KnowsAtOnce(Collector):
+    def __init__(self, reign: int, now: int, observers: Any, ledger: Ledger) -> None:
+        super().__init__(reign, now, observers, ledger)
+        self.began = now - ledger.rules.lease * 3
+
+    def _watched(self, now: int, zone: str) -> bool:
+        return any(s.zone == zone for s in self.seats.values())
+
+
+class BeginsInTheUnknown(Ledger):
+    def _unknown(self, unit: str) -> str:
+        return ""
+
+
+class BelievesAnOldVouch(Ledger):
+    def _unheard(self, zone: str) -> str:
+        return ""
+
+
+class AsksNoZone(Ledger):
+    def _holds_still(self, unit: str, permit: Any) -> str:
+        why = super()._holds_still(unit, permit)
+        return "" if "have not all confirmed" in why else why
+
+
+class HearsHostsAtOnce(Ledger):
+    def _agent(self, name: str, host: Any, word: dict[str, Any], heard: int) -> None:
+        super()._agent(name, host, word | {"quiet": self.rules.empty}, self.now)
+
+
+# Wrong ones, and what must be said of each.
+MUTANTS: dict[str, tuple[dict[str, Any], set[str]]] = {
+    "an observer that gives no ages": ({"observer": RoundsAges}, {"age"}),
+    "an observer that counts from arrival": ({"observer": CountsFromArrival}, {"age"}),
+    "an observer that takes stamps of another incarnation": ({"observer": TakesAnyStamp}, {"age"}),
+    "an observer that takes late words": ({"observer": TakesOldWords}, {"late", "word", "age", "level"}),
+    "an observer that forgets who is gone": ({"observer": ForgetsWhoIsGone}, {"lost"}),
+    "an observer that never doubts itself": ({"observer": NeverDoubtsItself}, {"death"}),
+    "a collector that buries a zone with its observers": ({"collector": BuriesThemTogether}, {"death"}),
+    "a collector that takes a silent observer's members for alive": ({"collector": KeepsThemAlive}, {"age"}),
+    "a collector that knows every zone": ({"collector": KnowsEveryZone}, {"unknown"}),
+    "a collector that trusts half a table": ({"collector": TrustsHalfATable}, {"age"}),
+    "a collector that takes stamps of another reign": ({"collector": TakesAnyReign}, {"age"}),
+    "a collector that tells all each second": ({"collector": TellsAll}, {"entries"}),
+    "a collector that hears the former observer": ({"collector": HearsTheFormer}, {"age", "word", "level", "death"}),
+    "a new leader that takes not yet heard for gone": ({"collector": KnowsAtOnce}, {"death"}),
+    "a ledger that begins in an unknown zone": ({"ledger": BeginsInTheUnknown}, {"unknown"}),
+    "a ledger that believes an old vouch": ({"ledger": BelievesAnOldVouch}, {"empty"}),
+    "a ledger that asks no zone": ({"ledger": AsksNoZone}, {"empty"}),
+    "a ledger that takes a host for quiet": ({"ledger": HearsHostsAtOnce}, {"empty"}),
+}
+
+
+def play(seed: int, **made: Any) -> tuple[Sim, str]:
+    """A history and what was broken in it, if anything. Each fourth has a zone apart."""
+    sim = Sim(seed, apart=seed % 4 == 3, **made)
+    try:
+        sim.run()
+    except Broken as broken:
+        return sim, str(broken)
+    return sim, ""
+
+
+def main() -> None:
+    seeds = int(sys.argv[1]) if len(sys.argv) > 1 else 200
+    first = int(sys.argv[2]) if len(sys.argv) > 2 else 0
+    entries, bad = 0, 0
+    counts: dict[str, int] = {}
+    for seed in range(first, first + seeds):
+        sim, broken = play(seed)
+        entries += sim.index
+        for what, n in sim.judge.counts.items():
+            counts[what] = counts.get(what, 0) + n
+        if broken:
+            bad += 1
+            print(f"seed {seed}: {broken}", flush=True)
+    print(f"{seeds} histories, {entries} entries, {bad} broken; {counts}")
+
+
+if __name__ == "__main__":
+    main()
--- a/ironfall/permits/__init__.py
+++ b/ironfall/permits/__init__.py
@@ -18,6 +18,10 @@
 drained: {host: token}, silent: [host], took: {director: [inc, proxies]}]}} | what directors stand for; shares are of \
 a million, near of the limit of a rule; drained, silent, took are whole and replace what was said before |
 | agents | hosts: {name: {inc, n, up, [quiet], [token]}} | hosts' agents; quiet: how long nothing came |
+| digest | made, [zones: {zone: unknown}], [came: {director: [inc, zone, version]}], [directors: {name: word}], \
+[hosts: {name: [inc, n, up, quiet, token, age]}], [lapsed: {director: [inc, age]}], \
+[vouch: {zone: [age, index of its set, {host: token} or null]}] \
+| leader: differences of what observers heard (docs/observers.md), ages as of made, by the log's time |
 | ask | holder, inc, n, units, length, [release] | may these be out, all together; n counts up, sent again is answered |
 | cancel | holder, inc, n | what waits or can be undone of an ask |
 | drain, out, back | holder, inc, unit, token | the steps of a permit; the answer has the new token |
--- a/ironfall/permits/entries.py
+++ b/ironfall/permits/entries.py
@@ -145,22 +145,25 @@
     return lambda: ledger.lapse(role, name, inc)
 
 
+def director_word(one: Any, where: str) -> dict[str, Any]:
+    """What a director stands for; raises `Refused` with the place."""
+    w = Fields(one, where, "inc n proxies binding waiting bare refused fulfilled near leaving token drained silent "
+               "took")  # fmt: skip
+    drained = {host: whole(t, w.where + "drained") for host, t in w.table("drained", {}).items()}
+    took = {}
+    for other, pair in w.table("took", {}).items():
+        if not isinstance(pair, list) or len(pair) != 2:
+            raise Refused(f"{w.where}took must name an incarnation and a number of proxies")
+        took[other] = [whole(n, w.where + "took") for n in pair]
+    said = {
+        "inc": w.whole("inc"), "n": w.whole("n"), "drained": drained, "took": took, "silent": w.names("silent", []),
+        "leaving": w.yes("leaving", False), "near": w.whole("near", 0, 100 * MILLION), "token": w.whole("token", 0),
+    } | {x: w.whole(x, 0) for x in ("proxies", "binding", "waiting", "bare")}  # fmt: skip
+    return said | {x: w.whole(x, 0, MILLION) for x in ("refused", "fulfilled")}
+
+
 def _words(f: Fields, ledger: "Ledger") -> Any:
-    said = {}
-    for name, one in f.table("directors").items():
-        w = Fields(one, f"directors.{name}", "inc n proxies binding waiting bare refused fulfilled near leaving token "
-                   "drained silent took")  # fmt: skip
-        drained = {host: whole(t, w.where + "drained") for host, t in w.table("drained", {}).items()}
-        took = {}
-        for other, pair in w.table("took", {}).items():
-            if not isinstance(pair, list) or len(pair) != 2:
-                raise Refused(f"{w.where}took must name an incarnation and a number of proxies")
-            took[other] = [whole(n, w.where + "took") for n in pair]
-        said[name] = {
-            "inc": w.whole("inc"), "n": w.whole("n"), "drained": drained, "took": took, "silent": w.names("silent", []),
-            "leaving": w.yes("leaving", False), "near": w.whole("near", 0, 100 * MILLION), "token": w.whole("token", 0),
-        } | {x: w.whole(x, 0) for x in ("proxies", "binding", "waiting", "bare")}  # fmt: skip
-        said[name] |= {x: w.whole(x, 0, MILLION) for x in ("refused", "fulfilled")}
+    said = {name: director_word(one, f"directors.{name}") for name, one in f.table("directors").items()}
     return lambda: ledger.words(said)
 
 
@@ -173,6 +176,40 @@
     return lambda: ledger.agents(said)
 
 
+def _row(held: Any, where: str, kinds: str) -> list[Any]:
+    """A list of just these: `w` a whole number, `n` a name, `v` a text that may be empty, `y` true or false."""
+    if not isinstance(held, list) or len(held) != len(kinds):
+        raise Refused(f"{where} must be a list of {len(kinds)}")
+    for value, kind in zip(held, kinds, strict=True):
+        if kind == "w":
+            whole(value, where)
+        elif kind == "y" and not isinstance(value, bool):
+            raise Refused(f"{where} must have true or false in its place")
+        elif kind == "n" or kind == "v" and value != "":
+            text(value, where)
+    return held
+
+
+def _digest(f: Fields, ledger: "Ledger") -> Any:
+    made = f.whole("made")
+    zones = f.table("zones", {})
+    for zone, unknown in zones.items():
+        _row([unknown], f"zones.{zone}", "y")
+    came = {name: _row(one, f"came.{name}", "wnv") for name, one in f.table("came", {}).items()}
+    directors = {name: director_word(one, f"directors.{name}") for name, one in f.table("directors", {}).items()}
+    hosts = {name: _row(one, f"hosts.{name}", "wwywww") for name, one in f.table("hosts", {}).items()}
+    lapsed = {name: _row(one, f"lapsed.{name}", "ww") for name, one in f.table("lapsed", {}).items()}
+    vouch = {}
+    for zone, one in f.table("vouch", {}).items():
+        if not isinstance(one, list) or len(one) != 3 or not isinstance(one[2], dict | None):
+            raise Refused(f"vouch.{zone} must be an age, an index and the hosts confirmed, or null")
+        _row(one[:2], f"vouch.{zone}", "ww")
+        for host, token in (one[2] or {}).items():
+            whole(token, f"vouch.{zone}.{text(host, f'vouch.{zone}')}")
+        vouch[zone] = (one[0], one[1], one[2])
+    return lambda: ledger.digest(made, zones, came, directors, hosts, lapsed, vouch)
+
+
 def _ask(f: Fields, ledger: "Ledger") -> Any:
     holder, inc, number, units = f.name("holder"), f.whole("inc"), f.whole("n"), f.names("units")
     length, release = f.whole("length"), f.name("release", "")
@@ -240,6 +277,7 @@
     "lapse": (_lapse, "role name inc"),
     "words": (_words, "directors"),
     "agents": (_agents, "hosts"),
+    "digest": (_digest, "made zones came directors hosts lapsed vouch"),
     "ask": (_ask, "holder inc n units length release"),
     "cancel": (_cancel, "holder inc n"),
     "drain": (_step("drain"), "holder inc unit token"),
--- a/ironfall/permits/ledger.py
+++ b/ironfall/permits/ledger.py
@@ -2,11 +2,11 @@
 
 import json
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import Any
 
 from ironfall.permits.entries import Refused, decode
-from ironfall.permits.records import REVERSIBLE, Ask, Director, Halt, Holder, Host, Past, Permit
+from ironfall.permits.records import REVERSIBLE, Ask, Director, Halt, Holder, Host, Past, Permit, Zone
 from ironfall.permits.standing import Standing
 from ironfall.permits.terms import MILLION, Rules, rules_of
 
@@ -43,6 +43,9 @@
             "asks": all_of(self.asks), "permits": all_of(self.permits), "halts": all_of(self.halts),
             "past": all_of(self.past), "ended": list(self.ended.items()), "held": list(self.held.items()),
             "rested": self.rested, "firm": self.firm, "loads": sorted(self.strength.loads.items()),
+            # Without observers a snapshot is what it was before there were any.
+            **({"observed": list(self.observed.items()), "zones": all_of(self.zones)}
+               if self.observed or self.zones else {}),
         })  # fmt: skip
 
     def restore(self, snapshot: bytes) -> None:
@@ -51,6 +54,8 @@
         kinds: dict[str, Any] = {"hosts": Host, "directors": Director, "holders": Holder, "asks": Ask,
                                  "permits": Permit, "halts": Halt, "past": Past}  # fmt: skip
         tables = {name: OrderedDict((k, kind(**one)) for k, one in held[name]) for name, kind in kinds.items()}
+        observed = dict(held.get("observed", ()))
+        zones = {name: Zone(**one) for name, one in held.get("zones", ())}
         rules, loads = rules_of(held["rules"]), [(int(kind), list(hours)) for kind, hours in held["loads"]]
         self._clear()
         for name, table in tables.items():
@@ -58,6 +63,7 @@
         for name in ("index", "now", "beat", "agreed", "listed", "rested", "firm"):
             setattr(self, name, held[name])
         self.rules, self.ended, self.held = rules, OrderedDict(held["ended"]), dict(held["held"])
+        self.observed, self.zones = observed, zones
         self._derive()
         for kind, hours in loads:
             self.strength.load(kind, hours)
@@ -123,22 +129,30 @@
         known = self.directors.get(name)
         if known and (incarnation < known.incarnation or incarnation == known.incarnation and not known.live):
             raise Refused(f"incarnation {incarnation} of {name} is over")
+        if known and incarnation == known.incarnation and name in self.observed:
+            raise Refused(f"incarnation {incarnation} of {name} is behind observers")
         if not known and len(self.directors) >= self.rules.directors:
             raise Refused(f"no more than {self.rules.directors} directors are kept")
         if not known or incarnation > known.incarnation:
+            self._come(name, incarnation, zone, version)
             if known:
-                self._forget_words(name)
-                self._count_director(name, -1)
-            # What the former one held is held by others or by nobody: its proxies join anew.
-            self.directors[name] = Director(zone, incarnation, version)
-            self._count_director(name, 1)
-            self.rested = self.firm = False
-            self._seen_back("director/" + name)
+                self._forget_took({name})
             self._look_all()
         until = self.directors[name].until = self.now + self.rules.lease
         self._spare()
         return {"until": until}
 
+    def _come(self, name: str, incarnation: int, zone: str, version: str) -> None:
+        if name in self.directors:
+            self._unwatch(name)
+            self._forget_words(name)
+            self._count_director(name, -1)
+        # What the former one held is held by others or by nobody: its proxies join anew.
+        self.directors[name] = Director(zone, incarnation, version)
+        self._count_director(name, 1)
+        self.rested = self.firm = False
+        self._seen_back("director/" + name)
+
     def hold(self, name: str, incarnation: int) -> dict[str, int]:
         """A holder's lease, asked for or renewed."""
         known = self.holders.get(name)
@@ -166,6 +180,8 @@
         held: Holder | Director | None = self.holders.get(name) if role == "holder" else self.directors.get(name)
         if held is None or held.incarnation != incarnation or not held.live:
             raise Refused(f"{role} {name} has no lease of incarnation {incarnation}")
+        if role == "director" and name in self.observed:
+            raise Refused(f"{name} is behind observers")
         due = held.until + self.rules.lease * self.rules.drift // MILLION
         if self.now < due:
             raise Refused(f"the lease of {name} ends at {due}, and it is {self.now}")
@@ -249,8 +265,11 @@
             if host in self.hosts:
                 self._silence(host, name, False)
         self._confirm_none(name)
+
+    def _forget_took(self, names: Collection[str]) -> None:
         for other in self.directors.values():
-            other.took.pop(name, None)
+            if other.took:
+                other.took = {name: pair for name, pair in other.took.items() if name not in names}
 
     def _confirm(self, director: str, permit: Permit, token: int) -> None:
         confirmed = permit.state in ("draining", "empty") and token == permit.token
@@ -274,17 +293,128 @@
             elif (word["inc"], word["n"]) <= (host.agent, host.number):
                 unheard[name] = "no newer than what it said before"
             else:
-                host.agent, host.number, host.up = word["inc"], word["n"], word["up"]
-                host.quiet, host.heard, host.acted = word["quiet"], self.now, max(host.acted, word["token"])
-                # A director that is gone never takes its word back: its voice ends with the host's own.
-                for voice in [v for v in host.silent if not self.directors[v].live] if host.up else ():
-                    self.directors[voice].silent.remove(name)
-                    self._silence(name, voice, False)
-                self._look("host/" + name)
-                self._seen_back("host/" + name)
+                self._agent(name, host, word, self.now)
         self._spare()
         return unheard
 
+    def _agent(self, name: str, host: Host, word: dict[str, Any], heard: int) -> None:
+        host.agent, host.number, host.up = word["inc"], word["n"], word["up"]
+        host.quiet, host.heard, host.acted = word["quiet"], heard, max(host.acted, word["token"])
+        # A director that is gone never takes its word back: its voice ends with the host's own.
+        for voice in [v for v in host.silent if not self.directors[v].live] if host.up else ():
+            self.directors[voice].silent.remove(name)
+            self._silence(name, voice, False)
+        self._look("host/" + name)
+        self._seen_back("host/" + name)
+
+    # what observers say of members, gathered by the leader
+
+    def digest(self, made: int, zones: dict[str, bool], came: dict[str, list[Any]],
+               directors: dict[str, dict[str, Any]], hosts: dict[str, list[Any]], lapsed: dict[str, list[int]],
+               vouch: dict[str, tuple[int, int, dict[str, int] | None]]) -> dict[str, str]:  # fmt: skip
+        """Differences, ages as of `made` by the log's time; each part that counts for nothing is answered by name."""
+        made, unheard, touched = min(made, self.now), dict[str, str](), set[str]()
+        for zone, unknown in zones.items():
+            self._know(zone, unknown)
+        anew = {name for name in came if name in self.directors}
+        for name, (incarnation, zone, version) in came.items():
+            if why := self._late(name, incarnation):
+                unheard["director/" + name] = why
+            else:
+                self._come(name, incarnation, zone, version)
+                self.observed[name] = zone
+                self.behind.setdefault(zone, set()).add(name)
+                self._changed(zone)
+        if anew:
+            self._forget_took(anew)
+        for name, word in directors.items():
+            director = self.directors.get(name)
+            if director is None or name not in self.observed or word["inc"] != director.incarnation:
+                unheard["director/" + name] = "no live lease of this incarnation behind observers"
+            elif word["n"] < director.number:
+                unheard["director/" + name] = "older than what it said before"
+            else:
+                touched |= self._word(name, director, word | {"drained": {}})  # that goes by zones
+        for name, (incarnation, number, up, quiet, token, age) in hosts.items():
+            host = self.hosts.get(name)
+            if host is None:
+                unheard["host/" + name] = "not a host of the list"
+            elif (incarnation, number) <= (host.agent, host.number):
+                unheard["host/" + name] = "no newer than what it said before"
+            else:
+                word = {"inc": incarnation, "n": number, "up": up, "quiet": quiet, "token": token}
+                self._agent(name, host, word, max(0, made - age))
+        heard = {zone: held.heard for zone, held in self.zones.items()}
+        for name, (incarnation, age) in lapsed.items():
+            if why := self._holds_lease(name, incarnation, age, made, heard):
+                unheard["director/" + name] = why
+            else:
+                self._count_director(name, -1)
+                self.directors[name].live = False
+                self._count_director(name, 1)
+                self._unwatch(name)
+        for zone, (age, changed, confirms) in vouch.items():
+            if why := self._vouch(zone, max(0, made - age), changed, confirms):
+                unheard[f"zone {zone}"] = why
+        if zones or came or lapsed or vouch:
+            self._look_all()
+        for unit in sorted(touched):
+            self._look(unit)
+        self._spare()
+        return unheard
+
+    def _know(self, zone: str, unknown: bool) -> None:
+        held = self.zones.setdefault(zone, Zone(self.index))
+        if bool(held.unknown) != unknown:
+            held.unknown, self.rested = (max(1, self.now), False) if unknown else (0, False)
+            self.moved.append([f"zone {zone}", "unknown" if unknown else "known", self.index, ""])
+        self._trim(zone)
+
+    def _late(self, name: str, incarnation: int) -> str:
+        known = self.directors.get(name)
+        if known and incarnation <= known.incarnation:
+            return "it came already" if known.live and incarnation == known.incarnation else "it is over"
+        full = not known and len(self.directors) >= self.rules.directors
+        return f"no more than {self.rules.directors} directors are kept" if full else ""
+
+    def _holds_lease(self, name: str, incarnation: int, age: int, made: int, heard: dict[str, int]) -> str:
+        """Why a director that observers speak for can't be taken for gone."""
+        if name not in self.observed or self.directors[name].incarnation != incarnation:
+            return "no live lease of this incarnation behind observers"
+        least = self.rules.lease + self.rules.lease * self.rules.drift // MILLION
+        if age < least:
+            return f"it was heard {age} ago, and a lease lasts {least}"
+        if self.zones[self.observed[name]].unknown:
+            return "its zone is unknown"
+        return "all of its zone were heard since" if made - age < heard[self.observed[name]] else ""
+
+    def _vouch(self, zone: str, heard: int, changed: int, confirms: dict[str, int] | None) -> str:
+        held = self.zones.get(zone)
+        if held is None or held.changed != changed:
+            return f"its directors changed at {held.changed if held else 0}, and {changed} is meant"
+        if held.unknown:
+            return "it is unknown"
+        held.heard = heard
+        if confirms is not None:
+            held.confirms = {host: token for host, token in confirms.items() if "host/" + host in self.permits}
+        return ""
+
+    def _unwatch(self, name: str) -> None:
+        if (zone := self.observed.pop(name, None)) is not None:
+            self.behind[zone].discard(name)
+            self._changed(zone)
+
+    def _changed(self, zone: str) -> None:
+        """What was vouched for was another set of directors."""
+        held = self.zones.setdefault(zone, Zone())
+        held.changed, held.heard, held.confirms = self.index, 0, {}
+        self._trim(zone)
+
+    def _trim(self, zone: str) -> None:
+        if not self.behind.get(zone) and not self.zones[zone].unknown:
+            self.behind.pop(zone, None)
+            del self.zones[zone]
+
     # asks
 
     def ask(self, holder: str, incarnation: int, number: int, units: list[str], length: int,
@@ -362,6 +492,8 @@
         permit = self._held(holder, incarnation, unit, token, "granted")
         if halt := self._halted(unit, permit.release):
             raise Refused(f"halted: {halt}")
+        if zone := self._unknown(unit):
+            raise Refused(f"zone {zone} is unknown: none of its observers is heard")
         self._move(unit, permit, "draining", order=True)
         self._look(unit)
         return {"token": permit.token}
@@ -371,6 +503,8 @@
         permit = self._held(holder, incarnation, unit, token, "draining", "empty")
         if halt := self._halted(unit, permit.release):
             raise Refused(f"halted: {halt}")
+        if zone := self._unknown(unit):
+            raise Refused(f"zone {zone} is unknown: none of its observers is heard")
         if why := self._holds_still(unit, permit):
             raise Refused(f"{unit} is not known to be empty: {why}")
         if short := self._exceeded(unit, permit):
@@ -409,7 +543,7 @@
         ready = kind == "host" and self.hosts[name].listed and self.hosts[name].ready
         if ready and unit not in self.permits:
             raise Refused(f"{unit} is on the list, ready")
-        if kind == "director" and self.directors[name].live:
+        if kind == "director" and self.directors[name].live and not self._unknown(unit):
             raise Refused(f"{unit} has a live lease")
         if ask := self.asks.get(self.asked.get(unit, "")):
             self._drop(ask, "refused", f"{unit} is forgotten by {by}")
@@ -422,7 +556,9 @@
             for director in self.directors.values():
                 director.silent = [host for host in director.silent if host != name]
         elif kind == "director":
+            self._unwatch(name)
             self._forget_words(name)
+            self._forget_took({name})
             self._count_director(name, -1)
             del self.directors[name]
             self._look_all()
@@ -514,6 +650,8 @@
         for unit in ask.units:
             if self._halted(unit, ask.release):
                 return "halted"
+            if self._unknown(unit):
+                return "unknown"
         if self.held:
             scopes = {"strength", "channel", *ask.units, *(s for u in ask.units for s in self._scopes(u))}
             if any(scope in scopes and by != ask.id for scope, by in self.held.items()):
--- a/ironfall/permits/records.py
+++ b/ironfall/permits/records.py
@@ -51,6 +51,16 @@
     took: dict[str, list[int]] = field(default_factory=dict)  # of another's: its incarnation, how many proxies
 
 
+@dataclass(slots=True)
+class Zone:
+    """What observers let be said of a zone's directors that are live behind them, all together."""
+
+    changed: int = 0  # the index at which their set last changed: what is vouched of another set counts for nothing
+    heard: int = 0  # when the one heard longest ago was heard
+    confirms: dict[str, int] = field(default_factory=dict)  # host: the token under which all of them confirm
+    unknown: int = 0  # since when none of its observers is heard; 0: one is
+
+
 @dataclass(slots=True)
 class Holder:
     incarnation: int
--- a/ironfall/permits/standing.py
+++ b/ironfall/permits/standing.py
@@ -8,7 +8,7 @@
 from dataclasses import asdict
 from typing import Any
 
-from ironfall.permits.records import Ask, Director, Halt, Holder, Host, Past, Permit
+from ironfall.permits.records import Ask, Director, Halt, Holder, Host, Past, Permit, Zone
 from ironfall.permits.room import HOUR, Scopes, Strength, channel_time
 from ironfall.permits.terms import MILLION, Rules
 
@@ -27,6 +27,8 @@
         self.hosts: dict[str, Host] = {}
         self.directors: dict[str, Director] = {}
         self.holders: dict[str, Holder] = {}
+        self.observed: dict[str, str] = {}  # live directors that observers speak for: their zone
+        self.zones: dict[str, Zone] = {}  # what observers say of zones
         self.asks: OrderedDict[str, Ask] = OrderedDict()  # in the order of waiting
         self.permits: dict[str, Permit] = {}  # open ones, by unit
         self.ended: OrderedDict[str, list[Any]] = OrderedDict()
@@ -48,6 +50,9 @@
         self.waits = self.live_directors = 0
         self.cold: set[str] = set()
         self.strays = {name for name, host in self.hosts.items() if host.stray}
+        self.behind: dict[str, set[str]] = {}  # live directors behind observers, by zone
+        for name, zone in self.observed.items():
+            self.behind.setdefault(zone, set()).add(name)
         for name in self.hosts:
             self._count_host(name, 1)
         for name in self.directors:
@@ -89,6 +94,19 @@
         scopes = self._halting(unit, release)
         return next((f"{s} ({self.halts[s].reason})" for s in scopes if s in self.halts), "")
 
+    def _unknown(self, unit: str) -> str:
+        """The zone of this where none of the zone's observers is heard: nothing new begins there."""
+        if not self.zones:
+            return ""
+        kind, _, name = unit.partition("/")
+        zone = self.hosts[name].zone if kind == "host" else self.directors[name].zone
+        return zone if zone in self.zones and self.zones[zone].unknown else ""
+
+    def _doubted(self) -> list[str]:
+        """Live directors of unknown zones: no loss, and none to count on when more are to go."""
+        return [name for zone, held in self.zones.items() if held.unknown for name in self.behind.get(zone, ())
+                if "director/" + name not in self.permits]  # fmt: skip
+
     def _count(self, unit: str, way: int) -> None:
         kind, _, name = unit.partition("/")
         self._count_host(name, way) if kind == "host" else self._count_director(name, way)
@@ -190,7 +208,10 @@
 
         Of one that is not aged some are enough: hundreds may wait at each beat.
         """
-        short = [s for s, n in self._more(ask.units).items() if self.scopes.short(s, n, alone)]
+        more, doubted = self._more(ask.units), [] if alone or not self.zones else self._doubted()
+        if doubted and "directors" in more:
+            more["directors"] += len(doubted)
+        short = [s for s, n in more.items() if self.scopes.short(s, n, alone)]
         if short and (alone or self.now - ask.since < self.rules.age):
             return short
         hosts = [u for u in ask.units if u.startswith("host/")]
@@ -200,7 +221,8 @@
             ends = [p.length - (p.state == "out") * (self.now - p.since) for p in self.permits.values() if not alone]
             if self.strength.lacks(self._need(max(ask.length, *ends, 0)), have, self._lends(hosts, alone)):
                 short.append("strength")
-        if self._channel_short(len(hosts), [u[9:] for u in ask.units if u.startswith("director/")], alone):
+        directors = {*doubted, *(u[9:] for u in ask.units if u.startswith("director/"))}
+        if self._channel_short(len(hosts), sorted(directors), alone):
             short.append("channel")
         if not alone:
             short += [u for u in ask.units if u in self.permits]
@@ -258,17 +280,30 @@
             director = self.directors[name]
             if not director.live or not director.leaving or director.acted < permit.token:
                 return "it has not said that it is ready to stop"
-            return ""
+            return self._unheard(director.zone) if name in self.observed else ""
         live = self.live
         if not live:
             return "no director has a live lease"
-        if len(permit.confirms) < live:
-            return f"{live - len(permit.confirms)} directors have not confirmed"
+        if len(permit.confirms) < live - len(self.observed):
+            return f"{live - len(self.observed) - len(permit.confirms)} directors have not confirmed"
+        for zone, held in self.zones.items() if self.observed else ():
+            if not self.behind.get(zone):
+                continue
+            if why := self._unheard(zone):
+                return why
+            if held.confirms.get(name) != permit.token:
+                return f"the directors of zone {zone} have not all confirmed"
         host = self.hosts[name]
         if host.quiet < self.rules.empty or self.now > host.heard + self.rules.lease or host.heard < permit.since:
             return "its agent has not said, lately, that nothing comes"
         return ""
 
+    def _unheard(self, zone: str) -> str:
+        held = self.zones[zone]
+        if held.unknown:
+            return f"zone {zone} is unknown"
+        return "" if self.now <= held.heard + self.rules.lease else f"zone {zone} was not heard, all of it, for a lease"
+
     def marks(self) -> Iterator[tuple[str, str, int]]:
         """What each open unit is to be, under which token: the leader tells registry and agents until it is so.
         What is out and called back comes first."""
@@ -295,7 +330,7 @@
         tables: tuple[tuple[str, dict[str, Any]], ...] = ("holder", self.holders), ("director", self.directors)
         for role, table in tables:
             for name, held in table.items():
-                if held.live and self.now >= held.until + slack:
+                if held.live and self.now >= held.until + slack and (role == "holder" or name not in self.observed):
                     yield role, name, held.incarnation
 
     def look(self) -> dict[str, Any]:
@@ -308,4 +343,5 @@
             "directors": {name: [d.live, d.incarnation, d.version, d.proxies, d.waiting, d.bare, d.refused, d.fulfilled,
                                  d.zone, d.number] for name, d in self.directors.items()},
             "scopes": {s: [c.total, c.out, c.unplanned, self.scopes.limit(s)] for s, c in self.scopes.counts.items()},
-        }  # fmt: skip
+        } | ({"zones": {z: [len(self.behind.get(z, ())), held.heard, held.unknown] for z, held in self.zones.items()}}
+             if self.zones else {})  # fmt: skip
--- a/ironfall/permits/terms.py
+++ b/ironfall/permits/terms.py
@@ -83,11 +83,22 @@
                     if "budgets" in facts else facts))  # fmt: skip
 
 
+@dataclass(frozen=True)
+class ObserverTerms:
+    """One observer: where it listens, whose members it hears, and for how many it has room."""
+
+    name: str
+    address: tuple[str, int]
+    zone: str
+    room: int = 16_384
+
+
 @dataclass(frozen=True)
 class FleetTerms:
     """No keepers: the fleet's parts are not there. Shares are parts of one."""
 
     keepers: tuple[tuple[str, tuple[str, int]], ...] = ()
+    observers: tuple[ObserverTerms, ...] = ()  # none: members speak with the keepers themselves
     lease: int = Rules.lease
     drift: float = Rules.drift / MILLION
     budgets: tuple[tuple[str, int, float], ...] = ()
@@ -133,6 +144,7 @@
         keepers.append((name, address))
     if len(keepers) not in (1, 3, 5):
         source.fault(form.node.at, f"a fleet has 3 or 5 keepers (or 1, for a trial), not {len(keepers)}")
+    observers = _observers(form, facts, [address for _, address in keepers])
     budgets: list[tuple[str, int, float]] = []
     for node in form.all("budget"):
         budgets += _budget(source, node, [scope for scope, _, _ in budgets])
@@ -157,7 +169,35 @@
         source.fault(form.lists["drift"][0].at, "clocks that drift by half of the time keep no lease")
     if read["voices"] == 1:
         source.fault(form.lists["voices"][0].at, "one director's word is one voice: (voices N) is at least 2")
-    return FleetTerms(keepers=tuple(keepers), budgets=tuple(budgets), **read)
+    return FleetTerms(keepers=tuple(keepers), observers=observers, budgets=tuple(budgets), **read)
+
+
+def _observers(form: Form, facts: Facts, taken: list[tuple[str, int]]) -> tuple[ObserverTerms, ...]:
+    source, found = form.source, list[ObserverTerms]()
+    first: dict[str, Node] = {}  # of a zone
+    for node in form.all("observer"):
+        one = Form(source, node)
+        if len(one.values) != 2 or not isinstance(one.values[0].value, str) or not one.values[0].value:
+            source.fault(node.at, 'expected (observer "NAME" "ADDRESS" (zone "ZONE"))')
+            continue
+        name, address = one.values[0].value, words.address(source, one.values[1])
+        zone, room = one.get("zone", words.text), one.get("room", words.count, ObserverTerms.room)
+        one.done()
+        if name in [o.name for o in found]:
+            source.fault(one.values[0].at, f"observer {name} is named twice")
+        if address in taken:
+            source.fault(one.values[1].at, f"observer {name} stands at another's address")
+        if zone and facts is not None and zone not in facts.zones:
+            source.fault(one.lists["zone"][0].at, f"unknown zone {zone}; expected one of: {', '.join(facts.zones)}")
+        if room < 1_024:
+            source.fault(one.lists["room"][0].at, "(room N) of an observer is at least 1024 members")
+        found.append(ObserverTerms(name, address, zone, room))
+        taken = [*taken, address]
+        first.setdefault(zone, node)
+    for zone, node in first.items():
+        if zone and sum(o.zone == zone for o in found) < 2:
+            source.fault(node.at, f"zone {zone} has one observer: were it lost, nobody could speak for the zone")
+    return tuple(found)
 
 
 def _budget(source: Source, node: Node, known: list[str]) -> list[tuple[str, int, float]]:
