--- a/ironfall/lab/observers_judge.py
+++ b/ironfall/lab/observers_judge.py
@@ -33,7 +33,7 @@
     def __init__(self, sim: "Sim", rules: "Rules") -> None:
         self.sim, self.rules = sim, rules
         self.saids: dict[str, list[dict[str, Any]]] = {}  # by unit: what it said, oldest first
-        self.accepted: dict[str, list[tuple[int, dict[str, Any], str, int]]] = {}  # when said, what, by whom, its life
+        self.accepted: dict[str, list[tuple[int, dict[str, Any], str, int]]] = {}  # when heard, what, by whom, its life
         self.taken: dict[str, list[int]] = {}  # by observer: when reports were made that this leader took, whole
         self.zone_taken: dict[str, int] = {}
         self.reign = 0
@@ -64,7 +64,7 @@
             return
         n, inc = message["beats"][unit.name]["n"], message["beats"][unit.name]["inc"]
         said = next(s for s in reversed(self.saids[unit.name]) if (s["inc"], s["n"]) == (inc, n))
-        self.accepted.setdefault(unit.name, []).append((said["t"], said, post.name, post.life))
+        self.accepted.setdefault(unit.name, []).append((self.sim.now, said, post.name, post.life))
 
     def fell(self, post: "Post") -> None:
         self._count("observers fell")
@@ -158,7 +158,7 @@
         for name, (inc, n, up, quiet, token, age) in entry.get("hosts", {}).items():
             if "host/" + name not in unheard:
                 self._host("host/" + name, inc, n, up, quiet, token, now - age)
-        for name, (inc, _) in entry.get("lapsed", {}).items():
+        for name, (inc, _, _) in entry.get("lapsed", {}).items():
             if "director/" + name not in unheard:
                 self._lapsed(name, inc, before)
         for zone, (age, _, _) in entry.get("vouch", {}).items():
@@ -206,12 +206,14 @@
             self._broken("death", f"{name} is taken for gone, and no observer was there to hear it for a lease")
         if not before.get(name, (0, False))[1]:
             return  # it came and went unheard of: one entry tells both
-        for said, beat, post, life in reversed(self.accepted.get(unit, [])):
-            if said < sim.now - lease + SECOND * 3 // 2:
+        for came, beat, post, life in reversed(self.accepted.get(unit, [])):
+            if came < sim.now - lease:
                 break
-            heard = [made for made in self.taken.get(post, ()) if made > said + SECOND // 2]
-            if beat["inc"] == inc and heard and self.reign == sim.reign and sim.posts[post].life == life:
-                self._broken("death", f"{name} is taken for gone, and was heard {sim.now - said} ago by {post}")
+            told = any(made >= came for made in self.taken.get(post, ())) and self.reign == sim.reign
+            # Its stamp may have been up to a second on its way.
+            if beat["t"] > sim.now - lease + SECOND * 3 // 2 and beat["inc"] == inc and told and (
+                    sim.posts[post].life == life):  # fmt: skip
+                self._broken("death", f"{name} is taken for gone, and said {sim.now - beat['t']} ago to {post}: I live")
 
     def _out(self, unit: str, token: int) -> None:
         sim, host = self.sim, unit[5:]
--- a/ironfall/lab/observers_sim.py
+++ b/ironfall/lab/observers_sim.py
@@ -226,16 +226,16 @@
         """One step of a member's own loop."""
         now = unit.clock.at(self.now)
         if unit.alive and not unit.asked and now >= unit.homing.due:
+            target = unit.homing.target
             quiet = max(0, now - unit.clock.at(unit.quiet)) if unit.up and unit.mark != "ready" else 0
             message = json.loads(json.dumps(unit.homing.message(now, {unit.name: (unit.inc, unit.word())},
                                                                 {unit.name: quiet})))  # fmt: skip
             self.judge.said(unit, message)
             self.seq += 1
             unit.asked = asked = self.seq
-            home = unit.homing.home
             if not unit.cut:
-                self.send(lambda: self.hear(unit, asked, home, message))
-            self.later(TIMEOUT, lambda: self.timeout(unit, asked, home))
+                self.send(lambda: self.hear(unit, asked, target, message))
+            self.later(TIMEOUT, lambda: self.timeout(unit, asked, target))
         self.later(SECOND // 20, lambda: self.beat(unit))
 
     def hear(self, unit: Unit, asked: int, name: str, message: dict[str, Any]) -> None:
--- a/ironfall/observers/collector.py
+++ b/ironfall/observers/collector.py
@@ -272,6 +272,11 @@
         stand = [s for s in self.seats.values() if s.zone == zone and self._stands(s, now)]
         return all(s.whole for s in stand) and any(s.watching <= since for s in stand)
 
+    def _sure(self, now: int, zone: str, heard: int) -> bool:
+        """Whether no observer of a zone can have heard, and lost, a later word than one of `heard`."""
+        seats = [self.seats.get(name) for name, its in self.observers.items() if its == zone]
+        return all(s is not None and s.whole and s.since <= heard and self._stands(s, now) for s in seats)
+
     # digests
 
     def digests(self, now: int, made: int) -> Iterator[dict[str, Any]]:
@@ -316,7 +321,8 @@
             heapq.heappush(self.checks, (max(again, now + SECOND), name))
             if age >= 0:
                 director, one = self.ledger.directors[name], self.evidence("director/" + name)
-                rows: dict[str, Any] = {"lapsed": {name: [director.incarnation, age]}}
+                sure = one is not None and self._sure(now, director.zone, one.heard)
+                rows: dict[str, Any] = {"lapsed": {name: [director.incarnation, age, sure]}}
                 if one is not None and one.inc == director.incarnation and one.n >= director.number:
                     # The last that anybody heard of it, unrounded: its proxies are somewhere.
                     rows["directors"] = {name: _said(one)}
@@ -380,7 +386,8 @@
                                     "directors": {name: _said(one) | self._roofs(one)}}  # fmt: skip
             if one.gone and now - one.heard >= self._least() and self._watched(now, one.zone):
                 # It came and went while nobody could tell of it: never alive by the log, and its proxies somewhere.
-                rows |= {"lapsed": {name: [one.inc, now - one.heard]}, "directors": {name: _said(one)}}
+                rows |= {"lapsed": {name: [one.inc, now - one.heard, self._sure(now, one.zone, one.heard)]},
+                         "directors": {name: _said(one)}}  # fmt: skip
             parts.put(rows)
             return []
         told = {x: getattr(known, x) for x in (*SPEND, "leaving", "near", "took", "silent")} | {"token": known.acted}
--- a/ironfall/permits/__init__.py
+++ b/ironfall/permits/__init__.py
@@ -19,7 +19,7 @@
 a million, near of the limit of a rule; drained, silent, took are whole and replace what was said before |
 | agents | hosts: {name: {inc, n, up, [quiet], [token]}} | hosts' agents; quiet: how long nothing came |
 | digest | made, [zones: {zone: unknown}], [came: {director: [inc, zone, version]}], [directors: {name: word}], \
-[hosts: {name: [inc, n, up, quiet, token, age]}], [lapsed: {director: [inc, age]}], \
+[hosts: {name: [inc, n, up, quiet, token, age]}], [lapsed: {director: [inc, age, sure]}], \
 [vouch: {zone: [age, index of its set, {host: token} or null]}] \
 | leader: differences of what observers heard (docs/observers.md), ages as of made, by the log's time |
 | ask | holder, inc, n, units, length, [release] | may these be out, all together; n counts up, sent again is answered |
--- a/ironfall/permits/entries.py
+++ b/ironfall/permits/entries.py
@@ -198,7 +198,7 @@
     came = {name: _row(one, f"came.{name}", "wnv") for name, one in f.table("came", {}).items()}
     directors = {name: director_word(one, f"directors.{name}") for name, one in f.table("directors", {}).items()}
     hosts = {name: _row(one, f"hosts.{name}", "wwywww") for name, one in f.table("hosts", {}).items()}
-    lapsed = {name: _row(one, f"lapsed.{name}", "ww") for name, one in f.table("lapsed", {}).items()}
+    lapsed = {name: _row(one, f"lapsed.{name}", "wwy") for name, one in f.table("lapsed", {}).items()}
     vouch = {}
     for zone, one in f.table("vouch", {}).items():
         if not isinstance(one, list) or len(one) != 3 or not isinstance(one[2], dict | None):
--- a/ironfall/permits/ledger.py
+++ b/ironfall/permits/ledger.py
@@ -310,7 +310,7 @@
     # what observers say of members, gathered by the leader
 
     def digest(self, made: int, zones: dict[str, bool], came: dict[str, list[Any]],
-               directors: dict[str, dict[str, Any]], hosts: dict[str, list[Any]], lapsed: dict[str, list[int]],
+               directors: dict[str, dict[str, Any]], hosts: dict[str, list[Any]], lapsed: dict[str, list[Any]],
                vouch: dict[str, tuple[int, int, dict[str, int] | None]]) -> dict[str, str]:  # fmt: skip
         """Differences, ages as of `made` by the log's time; each part that counts for nothing is answered by name."""
         made, unheard, touched = min(made, self.now), dict[str, str](), set[str]()
@@ -345,12 +345,14 @@
                 word = {"inc": incarnation, "n": number, "up": up, "quiet": quiet, "token": token}
                 self._agent(name, host, word, max(0, made - age))
         heard = {zone: held.heard for zone, held in self.zones.items()}
-        for name, (incarnation, age) in lapsed.items():
+        for name, (incarnation, age, sure) in lapsed.items():
             if why := self._holds_lease(name, incarnation, age, made, heard):
                 unheard["director/" + name] = why
             else:
                 self._count_director(name, -1)
                 self.directors[name].live = False
+                # What it said last may be lost with its observer: then any number of proxies are nowhere.
+                self.directors[name].spoke = self.directors[name].spoke and sure
                 self._count_director(name, 1)
                 self._unwatch(name)
         for zone, (age, changed, confirms) in vouch.items():
