Let two observers that contradict each other be believed in what is worse

Not only of the same beat: where both say that they hear a member, at much the same time, the worse word counts.

--- a/ironfall/observers/collector.py
+++ b/ironfall/observers/collector.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from ironfall.observers.heartbeats import PART, SPEND, Word, matters, proven, read_word, roof, unit_of, worse
+from ironfall.observers.heartbeats import LATE, PART, SPEND, Word, matters, proven, read_word, roof, unit_of, worse
 from ironfall.permits import Ledger
 from ironfall.permits.entries import Fields, Refused
 from ironfall.permits.terms import MILLION, SECOND
@@ -218,22 +218,30 @@
         return seat.late.get(unit, max(one.heard, seat.floor))
 
     def evidence(self, unit: str) -> Evidence | None:
-        """The newest that is known of a unit. An older word says nothing any more, not that it lives either; of two
-        that are said to be the same the worse counts, and the older time."""
-        found: Evidence | None = self.former.get(unit)
+        """The newest that is known of a unit. An older word says nothing any more, not that it lives either; but where
+        another observer says that it heard the same beat, or the unit at much the same time, they contradict each
+        other: then the worse word counts, and of the same beat the older time."""
+        found = [self.former[unit]] if unit in self.former else []
         for name in self.where.get(unit, ()):
             seat = self.seats[name]
             one = seat.members[unit]
-            heard = self._heard(seat, unit, one)
-            mine = Evidence(one.inc, one.changed, heard, one.word, one.gone, one.n, one.quiet, one.at, one.zone, name)
-            if found is None or (mine.inc, mine.changed) > (found.inc, found.changed):
-                found = mine
-            elif (mine.inc, mine.changed) == (found.inc, found.changed):
-                found = Evidence(
-                    mine.inc, mine.changed, min(found.heard, heard), worse(unit, found.word, mine.word),
-                    found.gone and mine.gone, min(found.n, mine.n), min(found.quiet, mine.quiet),
-                    min(found.at, mine.at), mine.zone, found.home)  # fmt: skip
-        return found
+            found.append(Evidence(one.inc, one.changed, self._heard(seat, unit, one), one.word, one.gone, one.n,
+                                  one.quiet, one.at, one.zone, name))  # fmt: skip
+        if not found:
+            return None
+        newest = max(found, key=lambda one: (one.inc, one.changed, one.home))
+        for one in found if len(found) > 1 else ():
+            if one is not newest and one.inc == newest.inc and (
+                    one.changed == newest.changed or one.heard > newest.heard - 2 * LATE):  # fmt: skip
+                newest = self._join(unit, newest, one)
+        return newest
+
+    @staticmethod
+    def _join(unit: str, one: Evidence, other: Evidence) -> Evidence:
+        heard = min(one.heard, other.heard) if one.changed == other.changed else one.heard
+        return Evidence(one.inc, one.changed, heard, worse(unit, one.word, other.word), one.gone and other.gone,
+                        max(one.n, other.n), min(one.quiet, other.quiet), min(one.at, other.at), one.zone,
+                        one.home)  # fmt: skip
 
     def _stands(self, seat: Seat, now: int) -> bool:
         return now - seat.proven <= self.ledger.rules.lease // 3
