--- a/ironfall/durable/records.py
+++ b/ironfall/durable/records.py
@@ -14,7 +14,7 @@
 import zlib
 
 HEAD = struct.Struct(">II")
-RECORD_MOST = 64 * 2**20
+RECORD_MOST = 2**30  # a keeper's snapshot of a large fleet is one record
 
 
 def seal(payload: bytes) -> bytes:
--- a/ironfall/keeper/keeper.py
+++ b/ironfall/keeper/keeper.py
@@ -4,6 +4,7 @@
 import random
 import time
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Any
 
 import gevent
@@ -16,6 +17,7 @@
 from ironfall.keeper.disk import Append, Keep, Lost, Snapshot, Store, Writer
 from ironfall.keeper.machine import Machine
 from ironfall.keeper.peers import Peer, packed, unpacked
+from ironfall.permits import Rules
 
 SECOND = 10_000
 LEADER, FOLLOWER = "leader", "follower"
@@ -26,6 +28,11 @@
 LOOKS = 0.15  # seconds between two looks of a blank keeper for its group
 
 
+def bounds_of(rules: Rules) -> Bounds:
+    """For keepers of a ledger with these rules: a snapshot of as large a fleet as it may hold is taken from a peer."""
+    return replace(BOUNDS, snapshot=max(BOUNDS.snapshot, rules.snapshot))
+
+
 def _bytes(text: Any) -> bytes:
     return bytes(text.encode("latin-1"))
 
--- a/ironfall/keeper/machine.py
+++ b/ironfall/keeper/machine.py
@@ -21,12 +21,18 @@
 class Machine:
     def __init__(self, applied: Callable[[int, bytes], None] = quiet, askers: int = 4096, answers: int = 4,
                  idle: int = 60 * SECOND) -> None:  # fmt: skip
-        """`idle`: an asker silent for less than this by the log's time is not forgotten for a new one's sake."""
-        self.applied, self.most, self.answers, self.idle = applied, askers, answers, idle
+        """`askers` are kept, and once rules are agreed as many as the fleet may have members, where these are more.
+        `idle`: an asker silent for less than this by the log's time is not forgotten for a new one's sake."""
+        self.applied, self.least, self.answers, self.idle = applied, askers, answers, idle
         self.ledger = Ledger()
         # Used longest ago first: when, and its last answers by number.
         self.askers: OrderedDict[str, tuple[int, OrderedDict[int, bytes]]] = OrderedDict()
 
+    @property
+    def most(self) -> int:
+        rules = self.ledger.rules
+        return max(self.least, rules.members) if self.ledger.agreed else self.least
+
     @staticmethod
     def entry(asker: str, number: int, entry: bytes) -> bytes:
         return b"%d %s\n%s" % (number, asker.encode(), entry)
--- a/ironfall/keeper/program.py
+++ b/ironfall/keeper/program.py
@@ -17,7 +17,7 @@
 from ironfall.api.http import Bounds as HttpBounds
 from ironfall.api.http import HttpClient, HttpServer
 from ironfall.durable.disk import Disk
-from ironfall.keeper.keeper import BOUNDS, LOOKS, Keeper
+from ironfall.keeper.keeper import LOOKS, Keeper, bounds_of
 from ironfall.keeper.server import MARKS_TIME, Api
 from ironfall.keeper.sums import whole
 from ironfall.terms import Terms
@@ -32,14 +32,16 @@
     """A running keeper. `start()` returns once it listens; `wait()` until it was told to stop."""
 
     def __init__(self, terms: Terms, name: str, disk: Disk, log: Any, found: bool = False, seed: int | None = None,
-                 bounds: Bounds = BOUNDS, monotonic: Callable[[], float] = time.monotonic,
+                 bounds: Bounds | None = None, monotonic: Callable[[], float] = time.monotonic,
                  wall: Callable[[], float] = time.time) -> None:  # fmt: skip
-        """`found`: where all keepers are blank, they may begin a group."""
+        """`found`: where all keepers are blank, they may begin a group. `bounds`: by default those that the terms'
+        sizes ask for."""
         self.log, self.founds = log, found
         self.chance = random.Random(secrets.randbits(63) if seed is None else seed)
         group = terms.fleet.keepers
-        self.rules = json.loads(json.dumps(terms.fleet.rules(terms.service).facts()))
-        self.keeper = Keeper(name, group, disk, self.chance, log, bounds, monotonic, wall)
+        rules = terms.fleet.rules(terms.service)
+        self.rules = json.loads(json.dumps(rules.facts()))
+        self.keeper = Keeper(name, group, disk, self.chance, log, bounds or bounds_of(rules), monotonic, wall)
         limits = terms.limits
         http = HttpBounds(limits.held, BODY, limits.header_time / SECOND, MARKS_TIME + limits.idle / SECOND,
                           limits.write_time / SECOND)  # fmt: skip
--- a/ironfall/lab/agents.py
+++ b/ironfall/lab/agents.py
@@ -163,7 +163,7 @@
         if failed:
             raise failed
 
-    def say(self, keepers: Keepers) -> None:
+    def say(self, keepers: Keepers, together: int = 8_192) -> None:
         """Raises what the way to the keepers raises; the next word replaces one that was lost."""
         now = self.now()
         words = {}
@@ -171,8 +171,9 @@
             agent.act(now)
             if name not in self.cut:
                 words[name] = agent.word(now)
-        if words:
-            keepers.ask({"k": "agents", "hosts": words})
+        names = list(words)
+        for start in range(0, len(names), together):  # what fits into an entry
+            keepers.ask({"k": "agents", "hosts": {name: words[name] for name in names[start : start + together]}})
 
 
 class Again:
--- a/ironfall/lab/play.py
+++ b/ironfall/lab/play.py
@@ -108,7 +108,8 @@
     def wall(at: float) -> int:
         return int((time.time() - time.monotonic() + at) * SECOND)
 
-    listing.beside(keepers("registry"), keepers("registry"), Kept(disk, "registry"), wall, chance, log)
+    listing.beside(keepers("registry"), keepers("registry"), Kept(disk, "registry"), wall, chance, log,
+                   terms.fleet.hosts)  # fmt: skip
     # A keeper that tells marks may not have heard its leader for a while, half of a lease at the most.
     _, jobs = watch(fleet, keepers, Kept(disk, "agents"), lambda: int(time.monotonic() * SECOND), lease // 2, chance,
                     log)  # fmt: skip
--- a/ironfall/permits/entries.py
+++ b/ironfall/permits/entries.py
@@ -10,7 +10,7 @@
     from ironfall.permits.ledger import Ledger
 
 MOST = 8 * 2**20  # bytes of an entry
-MANY = 16_384  # items of a list in one
+MANY = 16_384  # items of a list in one, and as many as hosts may be kept
 WHOLE = 1 << 53
 
 
@@ -21,10 +21,10 @@
 class Fields:
     """One JSON object, read by name; `where` is its place in the entry."""
 
-    def __init__(self, held: Any, where: str, known: str) -> None:
+    def __init__(self, held: Any, where: str, known: str, many: int = MANY) -> None:
         if not isinstance(held, dict):
             raise Refused(f"{where or 'an entry'} must be an object")
-        self.held, self.where = held, where + "." if where else ""
+        self.held, self.where, self.many = held, where + "." if where else "", many
         if unknown := sorted(set(held) - set(known.split())):
             raise Refused(f"unknown field {self.where}{unknown[0][:64]}")
 
@@ -50,8 +50,8 @@
 
     def names(self, name: str, usual: list[str] | None = None) -> list[str]:
         value = self.get(name, usual)
-        if not isinstance(value, list) or len(value) > MANY:
-            raise Refused(f"{self.where}{name} must be a list of at most {MANY} names")
+        if not isinstance(value, list) or len(value) > self.many:
+            raise Refused(f"{self.where}{name} must be a list of at most {self.many} names")
         found = [text(v, self.where + name) for v in value]
         if len(set(found)) < len(found):
             raise Refused(f"{self.where}{name} names one twice")
@@ -59,8 +59,8 @@
 
     def table(self, name: str, usual: dict[str, Any] | None = None) -> dict[str, Any]:
         value = self.get(name, usual)
-        if not isinstance(value, dict) or len(value) > MANY:
-            raise Refused(f"{self.where}{name} must be an object of at most {MANY} names")
+        if not isinstance(value, dict) or len(value) > self.many:
+            raise Refused(f"{self.where}{name} must be an object of at most {self.many} names")
         for key in value:
             text(key, self.where + name)
         return value
@@ -90,7 +90,7 @@
     if not isinstance(kind, str) or kind not in KINDS:
         raise Refused(f"unknown kind of entry; expected one of: {', '.join(KINDS)}")
     read, known = KINDS[kind]
-    fields = Fields(held, "", f"k at {known}")
+    fields = Fields(held, "", f"k at {known}", max(MANY, ledger.rules.hosts))
     at = fields.whole("at")
     act = read(fields, ledger)
     ledger.at(at)
@@ -117,7 +117,7 @@
     version, gone = f.whole("v"), f.names("gone", [])
     hosts: dict[str, dict[str, Any]] = {}
     for name, one in f.table("hosts", {}).items():
-        h = Fields(one, f"hosts.{name}", "zone kind tenants strength classes ready token started")
+        h = Fields(one, f"hosts.{name}", "zone kind tenants strength classes ready token started", f.many)
         hosts[name] = {
             "zone": h.name("zone"), "kind": h.name("kind"), "tenants": h.names("tenants", []),
             "strength": h.whole("strength"), "classes": h.whole("classes", most=(1 << CLASSES) - 1),
@@ -149,7 +149,7 @@
     said = {}
     for name, one in f.table("directors").items():
         w = Fields(one, f"directors.{name}", "inc n proxies binding waiting bare refused fulfilled near leaving token "
-                   "drained silent took")  # fmt: skip
+                   "drained silent took", f.many)  # fmt: skip
         drained = {host: whole(t, w.where + "drained") for host, t in w.table("drained", {}).items()}
         took = {}
         for other, pair in w.table("took", {}).items():
@@ -167,7 +167,7 @@
 def _agents(f: Fields, ledger: "Ledger") -> Any:
     said = {}
     for name, one in f.table("hosts").items():
-        w = Fields(one, f"hosts.{name}", "inc n up quiet token")
+        w = Fields(one, f"hosts.{name}", "inc n up quiet token", f.many)
         said[name] = {"inc": w.whole("inc"), "n": w.whole("n"), "up": w.yes("up"), "quiet": w.whole("quiet", 0),
                       "token": w.whole("token", 0)}  # fmt: skip
     return lambda: ledger.agents(said)
--- a/ironfall/permits/fence.py
+++ b/ironfall/permits/fence.py
@@ -1,13 +1,16 @@
 """What registry and agents hold against late orders: of each unit, the newest token that was acted on."""
 
+from ironfall.permits.terms import Rules
+
 
 class Fence:
     """Pure; whoever has one saves `state()` before the act that it allowed, and starts from it again.
 
-    At `most` units a new one is refused: to forget an old token is to let an older order through.
+    At `most` units a new one is refused: to forget an old token is to let an older order through. Who holds one for a
+    whole fleet gives it the terms' `(hosts N)`.
     """
 
-    def __init__(self, tokens: dict[str, int] | None = None, most: int = 16_384) -> None:
+    def __init__(self, tokens: dict[str, int] | None = None, most: int = Rules.hosts) -> None:
         self.tokens, self.most = dict(tokens or {}), most
 
     def allows(self, unit: str, token: int) -> bool:
--- a/ironfall/permits/terms.py
+++ b/ironfall/permits/terms.py
@@ -14,6 +14,8 @@
 
 SECOND = 10_000
 MILLION = 1_000_000
+SIZES = ("hosts", "directors", "permits", "holders", "asks")  # how many of each are kept
+SNAPSHOT_MOST = 2**30 - 2**20  # bytes: one record on a keeper's disk
 # What a budget counts: hosts, or directors, of the whole fleet or of each of their groups.
 SCOPES = ("fleet", "zone", "kind", "tenant", "directors", "directors-zone")
 
@@ -56,6 +58,17 @@
     def facts(self) -> dict[str, Any]:
         return asdict(self) | {"budgets": [list(b) for b in self.budgets]}
 
+    @property
+    def members(self) -> int:
+        """The most that may ask keepers for anything."""
+        return self.hosts + self.directors + self.holders
+
+    @property
+    def snapshot(self) -> int:
+        """Bytes that a snapshot may come to, at names of 32 characters: records of hosts, directors and permits, who
+        asked and was answered what, and each director's confirmations of 256 drains at once."""
+        return 1_024 * self.members + 256 * self.open + 128 * self.directors * min(256, self.open)
+
 
 def rules_of(facts: dict[str, Any]) -> Rules:
     """`Rules` from an entry; raises `ValueError` with what is wrong in it."""
@@ -103,12 +116,18 @@
     pause: int = Rules.pause
     times: int = Rules.times
     heal: int = Rules.heal
+    hosts: int = Rules.hosts
+    directors: int = Rules.directors
+    permits: int = Rules.open
+    holders: int = Rules.holders
+    asks: int = Rules.waiting
 
     def rules(self, service: ServiceTerms) -> Rules:
         shares = {name: round(getattr(self, name) * MILLION) for name in ("drift", "margin", "unplanned", "near")}
-        same = ("lease", "age", "empty", "begin", "drain", "back", "voices", "pause", "times", "heal")
+        same = ("lease", "age", "empty", "begin", "drain", "back", "voices", "pause", "times", "heal", "hosts",
+                "directors", "holders")  # fmt: skip
         return Rules(
-            **{name: getattr(self, name) for name in same}, **shares,
+            **{name: getattr(self, name) for name in same}, **shares, open=self.permits, waiting=self.asks,
             budgets=tuple((scope, number, round(share * MILLION)) for scope, number, share in self.budgets),
             bare=service.bare_time, grace=service.drain_grace, pace=max(1, int(service.lines_each_second)),
             head=-int(-service.message_head // 1), slowest=service.slowest_message,
@@ -153,6 +172,13 @@
     for name, where in (("lease", form), ("empty", form), ("voices", form), ("pause", halt)):
         if not read[name]:
             source.fault(where.lists[name][0].at, f"({name} ...) must be above nought")
+    read |= {name: form.get(name, words.count, getattr(usual, name)) for name in SIZES}
+    for name in SIZES:
+        if read[name] < 1_024:
+            source.fault(form.lists[name][0].at, f"({name} ...) is at least 1024: fewer are kept in the same room")
+    if Rules(hosts=read["hosts"], directors=read["directors"], holders=read["holders"]).snapshot > SNAPSHOT_MOST:
+        largest = max((name for name in SIZES if name in form.lists), key=lambda name: read[name])
+        source.fault(form.lists[largest][0].at, f"a snapshot of so many may be over {SNAPSHOT_MOST} bytes")
     if read["drift"] >= 0.5:
         source.fault(form.lists["drift"][0].at, "clocks that drift by half of the time keep no lease")
     if read["voices"] == 1:
