--- a/ironfall/permits/ledger.py
+++ b/ironfall/permits/ledger.py
@@ -2,7 +2,8 @@
 
 import json
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
+from operator import attrgetter
 from typing import Any
 
 from ironfall.permits.entries import Refused, decode
@@ -11,6 +12,10 @@
 from ironfall.permits.terms import MILLION, Rules, rules_of
 
 Moved = list[list[Any]]
+# Tables of records in the order of a snapshot. Their lists and tables are put anew and never changed where they stand,
+# for a snapshot in parts still reads those of its moment; `confirms` alone grows, and is copied.
+KINDS: dict[str, Any] = {"hosts": Host, "directors": Director, "holders": Holder, "asks": Ask, "permits": Permit,
+                         "halts": Halt, "past": Past}  # fmt: skip
 
 
 class Ledger(Standing):
@@ -33,24 +38,28 @@
         return _packed(answer)
 
     def snapshot(self) -> bytes:
-        def all_of(table: dict[str, Any]) -> list[Any]:
-            return [[name, {field: getattr(one, field) for field in one.__slots__}] for name, one in table.items()]
+        return b"".join(self.parts())
 
-        return _packed({
+    def parts(self, many: int = 256) -> Iterator[bytes]:
+        """A snapshot in parts of so many records. It is taken at once, as cheaply as may be; what is applied while the
+        parts are made changes none of them."""
+        plain = {
             "index": self.index, "now": self.now, "beat": self.beat, "agreed": self.agreed,
             "rules": self.rules.facts(), "listed": self.listed,
-            "hosts": all_of(self.hosts), "directors": all_of(self.directors), "holders": all_of(self.holders),
-            "asks": all_of(self.asks), "permits": all_of(self.permits), "halts": all_of(self.halts),
-            "past": all_of(self.past), "ended": list(self.ended.items()), "held": list(self.held.items()),
+        }  # fmt: skip
+        tables = [(name, _taken(getattr(self, name))) for name in KINDS]
+        after = {
+            "ended": [[ask, list(ends)] for ask, ends in self.ended.items()], "held": list(self.held.items()),
             "rested": self.rested, "firm": self.firm, "loads": sorted(self.strength.loads.items()),
-        })  # fmt: skip
+        }  # fmt: skip
+        return _encoded(plain, tables, after, many)
 
     def restore(self, snapshot: bytes) -> None:
         """Raises `ValueError` (or `KeyError`, `TypeError`) for what is no snapshot, and is then as it was."""
         held = json.loads(snapshot)
-        kinds: dict[str, Any] = {"hosts": Host, "directors": Director, "holders": Holder, "asks": Ask,
-                                 "permits": Permit, "halts": Halt, "past": Past}  # fmt: skip
-        tables = {name: OrderedDict((k, kind(**one)) for k, one in held[name]) for name, kind in kinds.items()}
+        tables = {name: OrderedDict((k, kind(**one)) for k, one in held[name]) for name, kind in KINDS.items()}
+        for permit in tables["permits"].values():
+            permit.confirms = dict.fromkeys(permit.confirms)
         rules, loads = rules_of(held["rules"]), [(int(kind), list(hours)) for kind, hours in held["loads"]]
         self._clear()
         for name, table in tables.items():
@@ -225,21 +234,21 @@
                 self._confirm(name, permit, drained.get(host, 0))
         touched = {"director/" + name, *("host/" + host for host in fresh)}
         director.drained = drained
-        silent = sorted(host for host in set(word["silent"]) if host in self.hosts)
-        for host in sorted(set(director.silent) ^ set(silent)):
+        silent = {host for host in word["silent"] if host in self.hosts}
+        for host in sorted(silent.symmetric_difference(director.silent)):
             if host in self.hosts:
                 self._silence(host, name, host in silent)
-        director.silent = silent
+        director.silent = sorted(silent)
         self._seen_back("director/" + name)
         return touched if before == director.took else touched | set(self.permits)
 
     def _silence(self, name: str, director: str, silent: bool) -> None:
         self._count_host(name, -1)
-        voices = self.hosts[name].silent
-        if silent and director not in voices:
-            voices.append(director)
-        elif not silent and director in voices:
-            voices.remove(director)
+        host = self.hosts[name]
+        if silent and director not in host.silent:
+            host.silent = [*host.silent, director]
+        elif not silent:
+            host.silent = [voice for voice in host.silent if voice != director]
         self._count_host(name, 1)
         self.rested = False
         self._seen_back("host/" + name)
@@ -250,19 +259,19 @@
                 self._silence(host, name, False)
         self._confirm_none(name)
         for other in self.directors.values():
-            other.took.pop(name, None)
+            if name in other.took:
+                other.took = {d: pair for d, pair in other.took.items() if d != name}
 
     def _confirm(self, director: str, permit: Permit, token: int) -> None:
         confirmed = permit.state in ("draining", "empty") and token == permit.token
-        if confirmed and director not in permit.confirms:
-            permit.confirms.append(director)
-        elif not confirmed and director in permit.confirms:
-            permit.confirms.remove(director)
+        if confirmed:
+            permit.confirms.setdefault(director)
+        else:
+            permit.confirms.pop(director, None)
 
     def _confirm_none(self, director: str) -> None:
         for permit in self.permits.values():
-            if director in permit.confirms:
-                permit.confirms.remove(director)
+            permit.confirms.pop(director, None)
 
     def agents(self, said: dict[str, dict[str, Any]]) -> dict[str, str]:
         """What hosts' own agents say, many in one entry."""
@@ -278,7 +287,7 @@
                 host.quiet, host.heard, host.acted = word["quiet"], self.now, max(host.acted, word["token"])
                 # A director that is gone never takes its word back: its voice ends with the host's own.
                 for voice in [v for v in host.silent if not self.directors[v].live] if host.up else ():
-                    self.directors[voice].silent.remove(name)
+                    self.directors[voice].silent = [one for one in self.directors[voice].silent if one != name]
                     self._silence(name, voice, False)
                 self._look("host/" + name)
                 self._seen_back("host/" + name)
@@ -470,7 +479,7 @@
             self._end(unit, permit, end, cause)
         else:
             self._move(unit, permit, "undoing", f"{end}: {cause}", order=True)
-            permit.confirms = []
+            permit.confirms = {}
 
     def _move(self, unit: str, permit: Permit, state: str, cause: str = "", order: bool = False) -> None:
         """`order`: the fleet is to do something, under a newer token."""
@@ -519,7 +528,7 @@
             if any(scope in scopes and by != ask.id for scope, by in self.held.items()):
                 return "kept"
         if short := self._short(ask):
-            ask.short += [scope for scope in short if scope not in ask.short]
+            ask.short = [*ask.short, *(scope for scope in short if scope not in ask.short)]
             return "short"
         if len(self.permits) + len(ask.units) > self.rules.open:
             return "short"
@@ -619,12 +628,13 @@
 
     def _causes(self) -> Iterator[tuple[str, str]]:
         """What halts by itself, as it stands now."""
-        for scope, count in self.scopes.counts.items():
+        for scope in sorted(self.scopes.failed):
+            count = self.scopes.counts[scope]
             # A share of few hosts is reached by one: two at least, for one host that fails is every day's.
             most = max(1, count.total * self.rules.unplanned // MILLION)
             if scope.startswith(("fleet", "zone ")) and count.unplanned > most:
                 yield ("all" if scope == "fleet" else scope), "unplanned loss"
-        if sum(d.live and d.near >= self.rules.near for d in self.directors.values()) >= self.rules.voices:
+        if len(self.nearing) >= self.rules.voices:
             yield "all", "a rule is near its limit"
 
     def _watch(self) -> None:
@@ -674,5 +684,28 @@
                 self._lifted(scope, "calm")
 
 
+def _taken(table: dict[str, Any]) -> tuple[Sequence[str], list[tuple[str, Any]]]:
+    """The names of a table's fields, and of each record its name and values as they are now."""
+    if not table:
+        return (), []
+    fields: Sequence[str] = next(iter(table.values())).__slots__
+    rows = zip(table, map(attrgetter(*fields), table.values()), strict=True)
+    if "confirms" in fields:
+        at = fields.index("confirms")
+        return fields, [(name, (*one[:at], list(one[at]), *one[at + 1 :])) for name, one in rows]
+    return fields, list(rows)
+
+
+def _encoded(plain: dict[str, Any], tables: list[tuple[str, Any]], after: dict[str, Any], many: int) -> Iterator[bytes]:
+    yield _packed(plain)[:-1]
+    for table, (fields, rows) in tables:
+        yield b',"%s":[' % table.encode()
+        for start in range(0, len(rows), many):
+            part = [[name, dict(zip(fields, values, strict=True))] for name, values in rows[start : start + many]]
+            yield (b"," if start else b"") + _packed(part)[1:-1]
+        yield b"]"
+    yield b"," + _packed(after)[1:]
+
+
 def _packed(what: Any) -> bytes:
     return json.dumps(what, separators=(",", ":")).encode()
--- a/ironfall/permits/records.py
+++ b/ironfall/permits/records.py
@@ -85,7 +85,7 @@
     cause: str = ""
     recalled: int = 0  # since when a halt calls it back
     before: int = 0  # incarnation of the unit when it was let out
-    confirms: list[str] = field(default_factory=list)  # directors, by name
+    confirms: dict[str, None] = field(default_factory=dict)  # directors, by name, in the order of their words
 
 
 @dataclass(slots=True)
--- a/ironfall/permits/room.py
+++ b/ironfall/permits/room.py
@@ -36,11 +36,17 @@
 
 
 class Scopes:
-    """Totals and outs by scope; a scope is its kind and name, as `zone west`."""
+    """Totals and outs by scope; a scope is its kind and name, as `zone west`.
+
+    `over` are those with more out than may be once all is back that is coming back by itself, `failed` those with any
+    out without a permit: a fleet has thousands of scopes, and most entries change none of them.
+    """
 
     def __init__(self) -> None:
         self.counts: dict[str, Count] = {}
         self.budgets: dict[str, tuple[int, int]] = {}
+        self.over: set[str] = set()
+        self.failed: set[str] = set()
 
     def rule(self, rules: Rules) -> None:
         self.budgets = {scope: (number, share) for scope, number, share in rules.budgets}
@@ -54,6 +60,9 @@
             count.unplanned += way * unplanned
             if not count.total:
                 del self.counts[scope]
+            stays = count.out - count.undoing
+            (self.over.add if stays and stays > self.limit(scope) else self.over.discard)(scope)
+            (self.failed.add if count.unplanned else self.failed.discard)(scope)
 
     def limit(self, scope: str) -> int:
         """The most that may be out, rounded down: a share of few is none."""
--- a/ironfall/permits/standing.py
+++ b/ironfall/permits/standing.py
@@ -45,7 +45,8 @@
         self.asked = {unit: ask.id for ask in self.asks.values() for unit in ask.units}
         self.draining = sum(1 for p in self.permits.values() if p.state in ("granted", "draining"))
         self.channel: tuple[int, int, int, int, int] | None = None
-        self.waits = self.live_directors = 0
+        self.waits = self.live_directors = self.proxies = 0
+        self.nearing: set[str] = set()  # live directors with a rule near its limit
         self.cold: set[str] = set()
         self.strays = {name for name, host in self.hosts.items() if host.stray}
         for name in self.hosts:
@@ -109,6 +110,9 @@
         undoing = permit is not None and permit.state == "undoing"
         self.scopes.add(self._scopes("director/" + name), way, not director.live or permit is not None, undoing,
                         permit is None and not director.live)  # fmt: skip
+        self.proxies += way * director.proxies
+        near = way > 0 and director.live and director.near >= self.rules.near
+        (self.nearing.add if near else self.nearing.discard)(name)
         self.channel = None
 
     @property
@@ -222,8 +226,7 @@
             return "strength: what is left does not carry the load at any hour"
         directors = [u[9:] for u in ask.units if u.startswith("director/")]
         # What this many of its own size come to with all the others standing.
-        whole = sum(d.proxies for d in self.directors.values())
-        going = sum(self.directors[d].proxies for d in directors)
+        whole, going = self.proxies, sum(self.directors[d].proxies for d in directors)
         standing, binding = len(self.directors) - len(directors), self._channel()[3]
         if self.directors:
             time = channel_time(self.rules, standing, whole - going, going, binding, 0, len(hosts))
@@ -234,7 +237,7 @@
     def _over(self, length: int) -> bool:
         """Whether anything at all is over: most entries change nothing, and no permit is looked at for them."""
         return (
-            any(self.scopes.short(scope, 0, projected=True) for scope in self.scopes.counts)
+            bool(self.scopes.over)
             or self.strength.lacks(self._need(length), [self.strength.warm, self.strength.undoing], {})
             or self._channel_short(0, [])
         )
@@ -302,7 +305,8 @@
         """What operators are shown."""
         return {
             "now": self.now, "index": self.index,
-            "permits": {u: asdict(p) for u, p in self.permits.items()},
+            "permits": {u: {f: getattr(p, f) for f in p.__slots__} | {"confirms": len(p.confirms)}
+                        for u, p in self.permits.items()},
             "asks": {a.id: {"units": a.units, "since": a.since, "short": a.short} for a in self.asks.values()},
             "halts": {s: asdict(h) for s, h in self.halts.items()},
             "directors": {name: [d.live, d.incarnation, d.version, d.proxies, d.waiting, d.bare, d.refused, d.fulfilled,
