--- a/ironfall/agreement/member.py
+++ b/ironfall/agreement/member.py
@@ -7,8 +7,9 @@
 import json
 import random
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
+from itertools import islice
 
 from ironfall.agreement.log import Entry, Log
 from ironfall.agreement.members import Members, members_of
@@ -48,6 +49,15 @@
     part: tuple[int, int] = (0, 0)  # index of the snapshot that it is being sent, bytes of it taken
 
 
+@dataclass
+class Making:
+    """A snapshot that is made in parts, as of an entry that was agreed."""
+
+    index: int
+    parts: Iterator[bytes]
+    made: list[bytes]
+
+
 class Member:
     def __init__(self, me: str, bounds: Bounds, chance: random.Random, way: Way, machine: Machine,
                  found: Found) -> None:  # fmt: skip
@@ -76,6 +86,7 @@
         self.waiting: dict[int, int] = {}  # index: token
         self.reads: deque[tuple[int, int, int]] = deque()  # beat, index, token
         self.coming: tuple[tuple[int, int], bytearray] = ((0, 0), bytearray())  # a snapshot: index and size, what came
+        self.making: Making | None = None  # a snapshot of which parts are still to come
         self.memory = Memory(8 * bounds.members)
         self._keep()
         self._draw()
@@ -298,6 +309,7 @@
     # leading
 
     def _beat(self) -> None:
+        self._make()
         self.beats += 1
         self.next_beat = self.way.now() + self.bounds.beat
         for to, peer in self.peers.items():
@@ -567,8 +579,9 @@
         if self.role == LEADER:
             self._readable()
         long = len(self.log.entries) > self.bounds.log + self.bounds.tail or self.log.size > self.bounds.log_bytes
-        if long and self.commit - self.snap_index > self.bounds.log // 2:
+        if self.making is None and long and self.commit - self.snap_index > self.bounds.log // 2:
             self._shorten()
+        self._make()
 
     def _apply(self, index: int, entry: Entry) -> None:
         answer: bytes | None = b""
@@ -586,14 +599,25 @@
     # snapshots
 
     def _shorten(self) -> None:
+        """Takes a snapshot of all that is agreed, to be made in parts: a large one takes longer than an election."""
         reign = self.log.reign_at(self.commit)
         members = [m for n, m in self.configs if n <= self.commit][-1]
         head = json.dumps([self.commit, reign, members.plain(), self.sessions.plain()]).encode()
-        self.snapshot, self.snap_index = head + b"\n" + self.machine.snapshot(), self.commit
+        self.making = Making(self.commit, self.machine.parts(), [head, b"\n"])
+
+    def _make(self) -> None:
+        if (making := self.making) is None:
+            return
+        more = list(islice(making.parts, self.bounds.making))
+        making.made += more
+        if len(more) == self.bounds.making:
+            return
+        self.making = None
+        self.snapshot, self.snap_index = b"".join(making.made), making.index
         # A short tail stays for those who lag a little; on disk the snapshot alone stands for it.
-        self.log.rebase(max(self.log.base, self.commit - self.bounds.tail))
+        self.log.rebase(max(self.log.base, making.index - self.bounds.tail))
         if self.log.size > self.bounds.log_bytes // 2:
-            self.log.rebase(self.commit)
+            self.log.rebase(making.index)
         self._keep_snapshot()
 
     def _keep_snapshot(self) -> None:
@@ -619,6 +643,7 @@
     def _restore(self, snapshot: bytes) -> None:
         head, state = snapshot.split(b"\n", 1)
         index, reign, members, sessions = json.loads(head)
+        self.making = None  # of what was before
         self.sessions.restore(sessions)
         self.machine.restore(state)
         self.log, self.commit, self.snap_index = Log(index, reign), index, index
--- a/ironfall/agreement/way.py
+++ b/ironfall/agreement/way.py
@@ -1,6 +1,6 @@
 """What a member acts through, the machine it applies entries to, and the bounds it holds to."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -67,7 +67,8 @@
     """Deterministic: the same entries from the same snapshot give the same answers and state."""
 
     def apply(self, index: int, entry: bytes) -> bytes: ...
-    def snapshot(self) -> bytes: ...
+    # A snapshot as of this call, in parts that are made one after the other; what is applied meanwhile is not in them.
+    def parts(self) -> Iterator[bytes]: ...
     def restore(self, snapshot: bytes) -> None: ...
 
 
@@ -85,6 +86,7 @@
     log: int = 10_000  # entries until a snapshot is due
     log_bytes: int = 16 * 1024 * 1024  # the same; twice either, and no more is taken from askers
     tail: int = 1_000  # entries kept behind a snapshot for one who lags a little
+    making: int = 8  # parts of a snapshot made at a time, between which all else goes on
     part: int = 256 * 1024
     snapshot: int = 256 * 1024 * 1024  # bytes; what is larger is not taken from a peer
     sessions: int = 1024
--- a/ironfall/keeper/machine.py
+++ b/ironfall/keeper/machine.py
@@ -6,7 +6,8 @@
 
 import json
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from typing import Any
 
 from ironfall.permits import Ledger
 
@@ -68,8 +69,21 @@
         return b"%d\n%s" % (index, answer)
 
     def snapshot(self) -> bytes:
-        plain = [[a, used, [[n, x.decode()] for n, x in given.items()]] for a, (used, given) in self.askers.items()]
-        return json.dumps(plain).encode() + b"\n" + self.ledger.snapshot()
+        return b"".join(self.parts())
+
+    def parts(self, many: int = 256) -> Iterator[bytes]:
+        """As `Ledger.parts` has it: as of this call."""
+        askers = [(asker, used, tuple(given.items())) for asker, (used, given) in self.askers.items()]
+        return self._encoded(askers, self.ledger.parts(many), many)
+
+    @staticmethod
+    def _encoded(askers: list[Any], ledger: Iterator[bytes], many: int) -> Iterator[bytes]:
+        yield b"["
+        for start in range(0, len(askers), many):
+            part = [[a, used, [[n, x.decode()] for n, x in given]] for a, used, given in askers[start : start + many]]
+            yield (b", " if start else b"") + json.dumps(part).encode()[1:-1]
+        yield b"]\n"
+        yield from ledger
 
     def restore(self, snapshot: bytes) -> None:
         head, _, state = snapshot.partition(b"\n")
--- a/ironfall/lab/agreement_model.py
+++ b/ironfall/lab/agreement_model.py
@@ -80,8 +80,8 @@
         self.values.append(entry.decode())
         return b"%d" % len(self.values)
 
-    def snapshot(self) -> bytes:
-        return json.dumps(self.values).encode()
+    def parts(self) -> Iterator[bytes]:
+        return iter([json.dumps(self.values).encode()])
 
     def restore(self, snapshot: bytes) -> None:
         self.values = json.loads(snapshot)
--- a/ironfall/lab/agreement_sim.py
+++ b/ironfall/lab/agreement_sim.py
@@ -8,7 +8,7 @@
 import heapq
 import json
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -16,7 +16,8 @@
 
 SECOND = 10_000
 SMALL = Bounds(election=SECOND // 2, beat=SECOND // 10, disk=SECOND // 3, entry=256, batch=4, batch_bytes=400, flight=2,
-               asks=6, writes=64, log=30, log_bytes=4_000, tail=5, part=150, sessions=3, answers=2)  # fmt: skip
+               asks=6, writes=64, log=30, log_bytes=4_000, tail=5, part=150, making=2, sessions=3,
+               answers=2)  # fmt: skip
 
 
 class Wrong(Exception):
@@ -34,8 +35,9 @@
         self.sim.applied(self.name, index, self.values)
         return b"%d" % len(self.values)
 
-    def snapshot(self) -> bytes:
-        return json.dumps(self.values).encode()
+    def parts(self) -> Iterator[bytes]:
+        whole = json.dumps(self.values).encode()
+        return iter([whole[n : n + 200] for n in range(0, len(whole), 200)])
 
     def restore(self, snapshot: bytes) -> None:
         self.values = json.loads(snapshot)
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -1,7 +1,9 @@
 """The agreement among keepers: explored in the small, simulated under seeds, and its parts one by one."""
 
+import json
 import random
 import re
+from itertools import pairwise
 
 import pytest
 from hypothesis import given, settings
@@ -233,6 +235,68 @@
     assert told == [(0, 5), (50, 50)]
 
 
+class Slow(List):
+    """A snapshot of ten parts."""
+
+    def parts(self):
+        whole = json.dumps(self.values).encode()
+        cuts = [len(whole) * n // 10 for n in range(11)]
+        return iter([whole[a:b] for a, b in pairwise(cuts)])
+
+
+def test_a_snapshot_is_made_in_parts_between_which_asks_are_answered():
+    member, way = alone(Bounds(log=20, tail=3, making=2))
+    member.machine = Slow(member.machine.sim, "k0")
+    member.open(1)
+    member.kept(member.writes.number)
+    session = int(way.all("answer")[-1][2])
+    answered, number = [], 0
+    while not way.all("keep_snapshot"):
+        number += 1
+        member.ask(number + 1, session, number, b"%d" % number)
+        member.kept(member.writes.number)
+        answered.append(member.making.index if member.making else 0)
+        assert way.all("answer")[-1] == (number + 1, Outcome.DONE, b"%d" % number)
+    taken = max(answered)
+    assert answered.count(taken) == 5  # calls of two parts each, and all the while it took asks
+    (_, index, snapshot, entries), = way.all("keep_snapshot")
+    head, state = snapshot.split(b"\n")
+    assert index == taken == json.loads(head)[0] == member.snap_index and member.commit > index
+    assert [e.data for e in entries] == [b"%d" % n for n in range(number - len(entries) + 1, number + 1)]
+    assert json.loads(state) == [str(n) for n in range(1, number - len(entries) + 1)]
+    assert member.log.base == index - 3 and member.log.last == index + len(entries)
+
+
+def test_a_leader_at_rest_makes_its_snapshot_at_its_beats():
+    member, way = alone(Bounds(log=20, tail=3, making=2))
+    member.machine = Slow(member.machine.sim, "k0")
+    for token in range(40):
+        member.open(token)
+        member.kept(member.writes.number)
+        if member.making:
+            break
+    for _ in range(6):
+        way.time = member.next_beat
+        member.woken()
+    assert way.all("keep_snapshot") and member.making is None
+
+
+def test_a_snapshot_from_a_peer_ends_one_that_is_being_made():
+    way, entries = Quiet(), [Entry(1, "ask")] * 40
+    found = Found(1 << 20, 1, "", entries=entries, first=Members(("k0/a", "k1/a")))
+    sim = type("Applied", (), {"applied": lambda *_: None, "order": []})()
+    member = Member("k0/a", Bounds(log=20, tail=3, making=2), random.Random(1), way, Slow(sim, "k0"), found)
+    member.kept(member.writes.number)
+    member.offered("k1/a", 1 << 20, 1, 1, 40, 1, (), 40)
+    assert member.making and member.commit == 40
+    snapshot = b'[50, 1, [["k0/a", "k1/a"], []], []]\n[]'
+    member.part_offered("k1/a", 1 << 20, 1, 2, 50, 0, len(snapshot), snapshot)
+    assert member.making is None and member.snap_index == 50
+    for beat in range(3, 12):
+        member.offered("k1/a", 1 << 20, 1, beat, 50, 1, (), 50)
+    assert [one[1] for one in way.all("keep_snapshot")] == [50]
+
+
 def test_who_hears_a_leader_gives_no_vote_and_takes_up_no_reign():
     member, way = alone(voters=("k0/a", "k1/a", "k2/a"))
     member.offered("k1/a", 1 << 20, 1, 1, 0, 0, (), 0)
