--- a/ironfall/keeper/machine.py
+++ b/ironfall/keeper/machine.py
@@ -6,7 +6,8 @@
 
 import json
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from typing import Any
 
 from ironfall.permits import Ledger
 
@@ -21,12 +22,18 @@
 class Machine:
     def __init__(self, applied: Callable[[int, bytes], None] = quiet, askers: int = 4096, answers: int = 4,
                  idle: int = 60 * SECOND) -> None:  # fmt: skip
-        """`idle`: an asker silent for less than this by the log's time is not forgotten for a new one's sake."""
-        self.applied, self.most, self.answers, self.idle = applied, askers, answers, idle
+        """`askers` are kept, and once rules are agreed as many as the fleet may have members, where these are more.
+        `idle`: an asker silent for less than this by the log's time is not forgotten for a new one's sake."""
+        self.applied, self.least, self.answers, self.idle = applied, askers, answers, idle
         self.ledger = Ledger()
         # Used longest ago first: when, and its last answers by number.
         self.askers: OrderedDict[str, tuple[int, OrderedDict[int, bytes]]] = OrderedDict()
 
+    @property
+    def most(self) -> int:
+        rules = self.ledger.rules
+        return max(self.least, rules.members) if self.ledger.agreed else self.least
+
     @staticmethod
     def entry(asker: str, number: int, entry: bytes) -> bytes:
         return b"%d %s\n%s" % (number, asker.encode(), entry)
@@ -62,8 +69,21 @@
         return b"%d\n%s" % (index, answer)
 
     def snapshot(self) -> bytes:
-        plain = [[a, used, [[n, x.decode()] for n, x in given.items()]] for a, (used, given) in self.askers.items()]
-        return json.dumps(plain).encode() + b"\n" + self.ledger.snapshot()
+        return b"".join(self.parts())
+
+    def parts(self, many: int = 256) -> Iterator[bytes]:
+        """As `Ledger.parts` has it: as of this call."""
+        askers = [(asker, used, tuple(given.items())) for asker, (used, given) in self.askers.items()]
+        return self._encoded(askers, self.ledger.parts(many), many)
+
+    @staticmethod
+    def _encoded(askers: list[Any], ledger: Iterator[bytes], many: int) -> Iterator[bytes]:
+        yield b"["
+        for start in range(0, len(askers), many):
+            part = [[a, used, [[n, x.decode()] for n, x in given]] for a, used, given in askers[start : start + many]]
+            yield (b", " if start else b"") + json.dumps(part).encode()[1:-1]
+        yield b"]\n"
+        yield from ledger
 
     def restore(self, snapshot: bytes) -> None:
         head, _, state = snapshot.partition(b"\n")
--- a/ironfall/permits/entries.py
+++ b/ironfall/permits/entries.py
@@ -10,7 +10,7 @@
     from ironfall.permits.ledger import Ledger
 
 MOST = 8 * 2**20  # bytes of an entry
-MANY = 16_384  # items of a list in one
+MANY = 16_384  # items of a list in one, and as many as hosts may be kept
 WHOLE = 1 << 53
 
 
@@ -21,10 +21,10 @@
 class Fields:
     """One JSON object, read by name; `where` is its place in the entry."""
 
-    def __init__(self, held: Any, where: str, known: str) -> None:
+    def __init__(self, held: Any, where: str, known: str, many: int = MANY) -> None:
         if not isinstance(held, dict):
             raise Refused(f"{where or 'an entry'} must be an object")
-        self.held, self.where = held, where + "." if where else ""
+        self.held, self.where, self.many = held, where + "." if where else "", many
         if unknown := sorted(set(held) - set(known.split())):
             raise Refused(f"unknown field {self.where}{unknown[0][:64]}")
 
@@ -50,8 +50,8 @@
 
     def names(self, name: str, usual: list[str] | None = None) -> list[str]:
         value = self.get(name, usual)
-        if not isinstance(value, list) or len(value) > MANY:
-            raise Refused(f"{self.where}{name} must be a list of at most {MANY} names")
+        if not isinstance(value, list) or len(value) > self.many:
+            raise Refused(f"{self.where}{name} must be a list of at most {self.many} names")
         found = [text(v, self.where + name) for v in value]
         if len(set(found)) < len(found):
             raise Refused(f"{self.where}{name} names one twice")
@@ -59,8 +59,8 @@
 
     def table(self, name: str, usual: dict[str, Any] | None = None) -> dict[str, Any]:
         value = self.get(name, usual)
-        if not isinstance(value, dict) or len(value) > MANY:
-            raise Refused(f"{self.where}{name} must be an object of at most {MANY} names")
+        if not isinstance(value, dict) or len(value) > self.many:
+            raise Refused(f"{self.where}{name} must be an object of at most {self.many} names")
         for key in value:
             text(key, self.where + name)
         return value
@@ -90,7 +90,7 @@
     if not isinstance(kind, str) or kind not in KINDS:
         raise Refused(f"unknown kind of entry; expected one of: {', '.join(KINDS)}")
     read, known = KINDS[kind]
-    fields = Fields(held, "", f"k at {known}")
+    fields = Fields(held, "", f"k at {known}", max(MANY, ledger.rules.hosts))
     at = fields.whole("at")
     act = read(fields, ledger)
     ledger.at(at)
@@ -117,7 +117,7 @@
     version, gone = f.whole("v"), f.names("gone", [])
     hosts: dict[str, dict[str, Any]] = {}
     for name, one in f.table("hosts", {}).items():
-        h = Fields(one, f"hosts.{name}", "zone kind tenants strength classes ready token started")
+        h = Fields(one, f"hosts.{name}", "zone kind tenants strength classes ready token started", f.many)
         hosts[name] = {
             "zone": h.name("zone"), "kind": h.name("kind"), "tenants": h.names("tenants", []),
             "strength": h.whole("strength"), "classes": h.whole("classes", most=(1 << CLASSES) - 1),
@@ -145,10 +145,10 @@
     return lambda: ledger.lapse(role, name, inc)
 
 
-def director_word(one: Any, where: str) -> dict[str, Any]:
-    """What a director stands for; raises `Refused` with the place."""
+def director_word(one: Any, where: str, many: int = MANY) -> dict[str, Any]:
+    """What a director stands for; raises `Refused` with the place. `many`: names of a list in it, at most."""
     w = Fields(one, where, "inc n proxies binding waiting bare refused fulfilled near leaving token drained silent "
-               "took")  # fmt: skip
+               "took", many)  # fmt: skip
     drained = {host: whole(t, w.where + "drained") for host, t in w.table("drained", {}).items()}
     took = {}
     for other, pair in w.table("took", {}).items():
@@ -163,14 +163,14 @@
 
 
 def _words(f: Fields, ledger: "Ledger") -> Any:
-    said = {name: director_word(one, f"directors.{name}") for name, one in f.table("directors").items()}
+    said = {name: director_word(one, f"directors.{name}", f.many) for name, one in f.table("directors").items()}
     return lambda: ledger.words(said)
 
 
 def _agents(f: Fields, ledger: "Ledger") -> Any:
     said = {}
     for name, one in f.table("hosts").items():
-        w = Fields(one, f"hosts.{name}", "inc n up quiet token")
+        w = Fields(one, f"hosts.{name}", "inc n up quiet token", f.many)
         said[name] = {"inc": w.whole("inc"), "n": w.whole("n"), "up": w.yes("up"), "quiet": w.whole("quiet", 0),
                       "token": w.whole("token", 0)}  # fmt: skip
     return lambda: ledger.agents(said)
@@ -196,7 +196,8 @@
     for zone, unknown in zones.items():
         _row([unknown], f"zones.{zone}", "y")
     came = {name: _row(one, f"came.{name}", "wnv") for name, one in f.table("came", {}).items()}
-    directors = {name: director_word(one, f"directors.{name}") for name, one in f.table("directors", {}).items()}
+    directors = {name: director_word(one, f"directors.{name}", f.many)
+                 for name, one in f.table("directors", {}).items()}  # fmt: skip
     hosts = {name: _row(one, f"hosts.{name}", "wwywww") for name, one in f.table("hosts", {}).items()}
     lapsed = {name: _row(one, f"lapsed.{name}", "wwy") for name, one in f.table("lapsed", {}).items()}
     vouch = {}
