--- a/benchmarks/capacity/formula.py
+++ b/benchmarks/capacity/formula.py
@@ -100,6 +100,16 @@
     return Formula(f"slope({name})", lambda p: p.capacity.slopes[name].slope, (Use(name, None, by),))
 
 
+def first(name: str, by: str) -> Formula:
+    """What one more costs between the two smallest sizes: where whoever serves them is not behind yet."""
+
+    def of(place: Place) -> float:
+        slope = place.capacity.slopes[name]
+        return (slope.values[1] - slope.values[0]) / (slope.sizes[1] - slope.sizes[0])
+
+    return Formula(f"first({name})", of, (Use(name, None, by),))
+
+
 def most(name: str, by: str = "") -> Formula:
     """The largest value that was measured, at whatever size."""
     return Formula(f"max({name})", lambda p: max(p.capacity.slopes[name].values), (Use(name, None, by),))
--- a/benchmarks/capacity/places.py
+++ b/benchmarks/capacity/places.py
@@ -88,7 +88,8 @@
     "turned": "hosts that go or come a second, of the whole fleet",
     "lost_hosts, lost_directors": "that go, come or are heard no more in one instant, of the whole fleet",
     "lost_service_hosts": "of these the service's hosts",
-    "WHAT.FIGURE[size]": "a measurement at a size; slope(...) what one more costs, max(...) the most measured",
+    "WHAT.FIGURE[size]": "a measurement at a size; slope(...) what one more costs, first(...) the same between the two "
+                         "smallest sizes, where the keepers are not behind yet, max(...) the most measured",
 }
 
 _changed, _turned = asked("changes_per_day") / DAY, (2 * asked("restarts_per_day") + asked("failures_per_day")) / DAY
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from benchmarks.capacity.figures import Capacity, Faulty
-from benchmarks.capacity.formula import Formula, asked, assumed, each, known, line, most
+from benchmarks.capacity.formula import Formula, asked, assumed, each, first, known, line, most
 from benchmarks.capacity.places import (
     DAY,
     OCCASIONS,
@@ -93,19 +93,19 @@
 
 
 def member(figure: str) -> Formula:
-    return each(f"member.{figure}", "members")
+    return first(f"member.{figure}", "members")
 
 
 member_bytes = member("bytes_out_s") + member("bytes_in_s")
-agent_bytes = each("agent.bytes_out_s", "hosts") + each("agent.bytes_in_s", "hosts")
-entries_at_rest = directors * member("entries_s") + hosts * each("agent.entries_s", "hosts")
+agent_bytes = first("agent.bytes_out_s", "hosts") + first("agent.bytes_in_s", "hosts")
+entries_at_rest = directors * member("entries_s") + hosts * first("agent.entries_s", "hosts")
 room = most("keeper-entries.entries_s")
 service_turned = turned * share
 decided = (line("decisions-proxies.cpu_ms_s", proxies, "proxies")
            + each("decisions-hosts.cpu_ms_s", "hosts") * more_hosts)  # fmt: skip
 turn_ms = line("decisions-hosts.worst_turn_ms", service_hosts, "hosts")
 members = directors + hosts
-keepers_edge = directors * member("keeper_cpu_ms_s") + hosts * each("agent.keeper_cpu_ms_s", "hosts")
+keepers_edge = directors * member("keeper_cpu_ms_s") + hosts * first("agent.keeper_cpu_ms_s", "hosts")
 open_permits = turned / 2 * assumed("out_s")
 marks_s = turned / 2 * each("entries.restart_marks", "hosts")
 restart_entries = turned / 2 * each("entries.restart_entries", "hosts")
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -16,7 +16,7 @@
 from benchmarks.capacity import __main__ as command
 from benchmarks.capacity import figures, plot, roles, tables
 from benchmarks.capacity.bounds import BOUNDS_OF_TODAY
-from benchmarks.capacity.formula import asked, formula, line
+from benchmarks.capacity.formula import asked, first, formula, line
 from benchmarks.capacity.places import OCCASIONS, SAID, Place, Service, service_hosts, spread, weights
 from benchmarks.scale import frame
 
@@ -261,6 +261,7 @@
     capacity = figures.read(tomllib.loads(tomlkit.dumps(document)))
     slope, place = capacity.slopes["made.bytes"], Place(capacity, Service("all", 1.0), OCCASIONS["calm"])
     assert [slope.at(size) for size in (10, 20, 30, 160)] == [10, 20, 35, 170]
+    assert first("made.bytes", "hosts").of(place) == 1
     assert slope.at(170) == pytest.approx(170 + 10 * slope.slope)
     assert line("made.bytes", formula(160), "hosts").beyond(place) == []
     assert line("made.bytes", formula(161), "hosts").beyond(place) == ["made.bytes"]
