--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -110,7 +110,7 @@
 marks_s = turned / 2 * each("entries.restart_marks", "hosts")
 restart_entries = turned / 2 * each("entries.restart_entries", "hosts")
 turned_apart = restart_entries * asked("region_apart_s") / regions
-registry_ms = turned * line("registry-watchers.cpu_ms_change", met_directors, "watchers")
+registry_ms = turned * line("registry-watchers.change_cpu_ms", met_directors, "watchers")
 # A word of each member each second, an entry each.
 ledger_words = (directors * line("ledger-directors.word_us", directors, "directors")
                 + hosts * line("ledger-hosts.word_us", hosts, "hosts"))  # fmt: skip
@@ -179,10 +179,10 @@
         registry_ms, CORE_WHOLE,
         "`ironfall/lab/registry.py` (a stand-in): each watcher is told each change"),
     Row(LIST, "bytes to all directors", "B/s", ALL,
-        turned * line("registry-watchers.bytes_change", met_directors, "watchers"), directors * WIRE,
+        turned * line("registry-watchers.change_bytes", met_directors, "watchers"), directors * WIRE,
         "`ironfall/lab/registry.py` (a stand-in): what changed"),
     Row(LIST, "hosts lost told to their directors", "s", ("rack", "zone", "region"),
-        lost_hosts * line("registry-watchers.cpu_ms_change", met_directors, "watchers") / 1000, IN_FORCE,
+        lost_hosts * line("registry-watchers.change_cpu_ms", met_directors, "watchers") / 1000, IN_FORCE,
         "`ironfall/lab/registry.py` (a stand-in)"),
     Row(LIST, "whole lists to those that come anew", "s", ("zone", "region", "directors"),
         lost_directors * line("registry-hosts.whole_cpu_ms", met_hosts, "hosts") / 1000, IN_FORCE,
