--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -29,6 +29,7 @@
     share,
     spread,
     turned,
+    zones,
 )
 from ironfall.keeper.keeper import BOUNDS
 from ironfall.permits.terms import MILLION, SECOND, Rules
@@ -105,9 +106,17 @@
            + each("decisions-hosts.cpu_ms_s", "hosts") * more_hosts)  # fmt: skip
 turn_ms = line("decisions-hosts.worst_turn_ms", service_hosts, "hosts")
 members = directors + hosts
+paced, PACE = asked("requests_per_s") / directors, "exchanges a second"
+machines = asked("machines") * assumed("cores") * CORE_WHOLE
+led_ms = line("observers.leader_ms_s", members, "members")
+died_ms = line("observed-death.known_ms", service_directors, "members")
+observed_bytes = most("observed.member_bytes_out_s", "members") + most("observed.member_bytes_in_s", "members")
+OBSERVERS, HOMING = "`ironfall/observers/`", "`ironfall/observers/homing.py`"
+COLLECTOR = "`ironfall/observers/collector.py`: digests"
 keepers_edge = directors * member("keeper_cpu_ms_s") + hosts * first("agent.keeper_cpu_ms_s", "hosts")
 open_permits = turned / 2 * assumed("out_s")
 marks_s = turned / 2 * each("entries.restart_marks", "hosts")
+own_marks = marks_s * each("entries.marks_bytes", "hosts") / hosts
 restart_entries = turned / 2 * each("entries.restart_entries", "hosts")
 turned_apart = restart_entries * asked("region_apart_s") / regions
 registry_ms = turned * line("registry-watchers.change_cpu_ms", met_directors, "watchers")
@@ -125,7 +134,8 @@
 
 SERVE, PROXY, WAY, LIST = "director in service", "proxies and their exchange", "request's way", "registry"
 MEMBER, AGENT, KEEPER, RELEASE, CONFIG = "membership", "host's agent", "keeper and ledger", "releases", "configuration"
-ROLES = (SERVE, PROXY, WAY, LIST, MEMBER, AGENT, KEEPER, RELEASE, CONFIG)
+OBSERVER = "observer"
+ROLES = (SERVE, PROXY, WAY, LIST, MEMBER, AGENT, OBSERVER, KEEPER, RELEASE, CONFIG)
 
 ROWS: tuple[Row, ...] = (
     Row(SERVE, "processor time, all it does", "ms/s", ALL,
@@ -164,16 +174,17 @@
         proxies * line("holding.state_bytes", service_hosts, "hosts") / IN_FORCE, WIRE,
         "`ironfall/publication/publisher.py` and zstandard; resumed after a restart: missing", services=True,
         says="all at once, spread over the time allowed"),
-    Row(PROXY, "polls held by a director: memory", "MB", ALL, proxies * each("polls.rss_kb", "polls") / 1024, MEMORY,
+    Row(PROXY, "polls held by a director: memory", "MB", ALL, proxies * each("polls.rss_kb", "proxies") / 1024, MEMORY,
         "`ironfall/api/http.py`, a greenlet each"),
-    Row(PROXY, "polls held by a director: processor time", "ms/s", ALL, proxies * each("polls.cpu_ms_s", "polls"),
+    Row(PROXY, "polls held by a director: processor time", "ms/s", ALL, proxies * each("polls.cpu_ms_s", "proxies"),
         CORE, "`ironfall/api/http.py`, a greenlet each"),
-    Row(PROXY, "polls held by a director: bytes", "B/s", ALL, proxies * each("polls.bytes_s", "polls"), WIRE,
+    Row(PROXY, "polls held by a director: bytes", "B/s", ALL, proxies * each("polls.bytes_s", "proxies"), WIRE,
         "`ironfall/api/http.py`, asked anew each `wait`"),
-    Row(WAY, "added to an exchange, 99 in 100", "ms", ALL, most("through.added_ms_p99"), asked("added_ms"),
-        "`ironfall/proxy/program.py`: picked by weight, handed on", says="at the worst pace measured"),
+    Row(WAY, "added to an exchange, 99 in 100", "ms", ALL, line("through.added_ms_p99", paced, PACE), asked("added_ms"),
+        "`ironfall/proxy/program.py`: picked by weight, handed on",
+        says="all of a director's exchanges through one proxy"),
     Row(WAY, "processor time of all proxies of a director", "ms/s", ALL,
-        asked("requests_per_s") / directors * most("through.cpu_us_exchange") / 1000, None,
+        paced * line("through.cpu_us_exchange", paced, PACE) / 1000, None,
         "`ironfall/proxy/program.py`"),
     Row(LIST, "processor time of one registry for all", "ms/s", ALL,
         registry_ms, CORE_WHOLE,
@@ -193,29 +204,36 @@
     Row(MEMBER, "processor time", "ms/s", ALL, member("cpu_ms_s"), CORE,
         "`ironfall/director/member.py`, a word each second",
         says="what being one of a fleet costs: the milder reading",
-        after={"observers": (each("observed-members.member_cpu_ms_s", "members"), "`ironfall/observers/homing.py`")}),
+        after={"observers": (most("observed.member_cpu_us_s", "members") / 1000, HOMING)}),
     Row(MEMBER, "bytes in and out", "B/s", ALL, member_bytes, WIRE,
         "`ironfall/director/member.py`, its word whole each second", says="the milder reading",
-        after={"observers": (each("observed-members.member_bytes_s", "members"), "`ironfall/observers/homing.py`")}),
+        after={"observers": (observed_bytes, HOMING)}),
     Row(AGENT, "bytes in and out", "B/s", ALL, agent_bytes, WIRE,
         "an operator's own; `ironfall/lab/agents.py` (a stand-in), word and poll each second",
         says="nothing is asked of it; held against a director's limit",
-        after={"observers": (each("observed-members.member_bytes_s", "members"), "`ironfall/observers/homing.py`")}),
+        after={"observers": (observed_bytes, HOMING)}),
     Row(AGENT, "marks told to it", "B/s", ALL, marks_s * line("entries.marks_bytes", open_permits, "hosts"), WIRE,
         "`ironfall/keeper/server.py`: all marks to all who poll, at each change",
         says="nothing is asked of it; held against a director's limit. Of all agents times as much at the keepers",
-        after={"observers": (each("observed-members.member_bytes_s", "members"), "its own marks alone")}),
+        after={"observers": (own_marks, "its own marks alone, with a beat")}),
+    Row(OBSERVER, "processor time of one, with all of its zone", "ms/s", ALL,
+        line("observed.observer_cpu_ms_s", members / zones, "members"), machines / (2 * zones),
+        OBSERVERS, says="two a zone, dealt over the machines for control"),
+    Row(OBSERVER, "processor time of all", "ms/s", ALL, line("observed-rest.observer_cpu_ms_s", members, "members"),
+        machines, OBSERVERS),
+    Row(OBSERVER, "memory of one", "MB", ALL, most("observed.observer_mb", "members"), MEMORY, OBSERVERS,
+        says="held against a director's"),
     Row(KEEPER, "entries at rest", "1/s", ALL, entries_at_rest, room, "`ironfall/keeper/`: an entry for each word",
         safety=True, says="past it words are refused, leases lapse, and an operator's halt waits with the rest",
-        after={"observers": (line("observed-members.entries_s", members, "members"), "`ironfall/observers/`")}),
+        after={"observers": (line("observed-rest.entries_s", members, "members"), OBSERVERS)}),
     Row(KEEPER, "entries of drains and returns", "1/s", ("day",), restart_entries, room,
         "`ironfall/permits/`: a permit each", safety=True),
     Row(KEEPER, "processor time for the edge of all members", "ms/s", ALL, keepers_edge, 3 * CORE_WHOLE,
         "`ironfall/keeper/server.py`, three processes of one core each", safety=True,
-        after={"observers": (line("observed-members.keeper_cpu_ms_s", members, "members"), "`ironfall/observers/`")}),
+        after={"observers": (line("observed-rest.keepers_cpu_ms_s", members, "members"), OBSERVERS)}),
     Row(KEEPER, "processor time of the ledger for words", "ms/s", ALL, ledger_words / 1000, CORE_WHOLE,
         "`ironfall/permits/ledger.py`: a walk over scopes for each word", safety=True,
-        after={"observers": (line("observed-ledger.digest_ms_s", members, "members"), "`ironfall/permits/`: digests")}),
+        after={"observers": (led_ms + ledger("tick_us") / 1000, COLLECTOR)}),
     Row(KEEPER, "longest entry", "ms", ALL, line("ledger-hosts.list_us", hosts, "hosts") / 1000, ELECTION,
         "`ironfall/permits/ledger.py`, in one call", safety=True,
         says="of one host's line; longer than an election stops the group"),
@@ -235,23 +253,24 @@
     Row(KEEPER, "all members heard again", "s", ("keepers",), members / room, LEASE,
         "`ironfall/keeper/client.py`: tried again with jitter", safety=True,
         says="what takes longer than a lease lapses directors that live",
-        after={"observers": (line("observed-storm.all_s", members, "members"), "`ironfall/observers/`")}),
+        after={"observers": (line("observers.leader_new_s", members, "members"), COLLECTOR)}),
     Row(KEEPER, "all directors hold a lease again", "s", ("keepers",), line("join-storm.all_s", directors, "members"),
         LEASE, "`ironfall/director/member.py`: joined anew with jitter", safety=True,
-        says="by directors alone, from the keepers' start"),
+        says="by directors alone, from the keepers' start",
+        after={"observers": (line("observed-storm.restart_s", directors, "members"), OBSERVERS)}),
     Row(KEEPER, "a host's death known to the ledger", "s", ("day", "rack", "zone"),
         line("host-death.known_ms", service_directors, "members") / 1000, IN_FORCE,
         "`ironfall/permits/standing.py`: the second voice", services=True,
-        says="from the directors' seeing it"),
+        says="from the directors' seeing it",
+        after={"observers": (died_ms / 1000, OBSERVERS)}),
     Row(KEEPER, "a zone's members gone, and come anew", "s", ("zone",), (2 * lost_directors + lost_hosts) / room,
         IN_FORCE, "`ironfall/keeper/program.py`: a lapse and a join each", safety=True,
-        after={"observers": (line("observed-zone.entries", lost_hosts + lost_directors, "members") / room,
-                             "`ironfall/observers/`: scopes and batches")}),
+        after={"observers": (line("observers.zone_entries", members, "members") / room, COLLECTOR)}),
     Row(KEEPER, "a region's hour brought level", "s", ("region",),
         (2 * lost_directors + lost_hosts + turned_apart) / room, IN_FORCE,
         "`ironfall/director/member.py`, `ironfall/lab/registry.py`: all said anew"),
     Row(KEEPER, "processor time of keepers and registry together", "ms/s", ALL,
-        ledger_words / 1000 + keepers_edge + registry_ms, asked("machines") * assumed("cores") * CORE_WHOLE,
+        ledger_words / 1000 + keepers_edge + registry_ms, machines,
         f"each one process; dealt over the machines: {MISSING}"),
     Row(KEEPER, "hosts of a region that stay out for its hour", "hosts", ("region",),
         asked("restarts_per_day") / DAY * assumed("out_s") / regions, BUDGET * hosts / regions,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -293,7 +293,7 @@
     held = copy.deepcopy(HELD)
     held["mechanism"] = {"observers": {"what": "members at rest cost the log nothing", "module": "there"}}
     document = tomlkit.parse(tomlkit.dumps(held))
-    rest = measured("observed-members", "members", (1.0, 1.0, 1.0, 1.0))
+    rest = measured("observed-rest", "members", (1.0, 1.0, 1.0, 1.0))
     rest["figures"] = {"entries_s": rest["figures"]["bytes"]}
     figures.take(document, rest)
     figures.take(document, measured("keeper-entries", "askers", (900.0, 950.0, 960.0, 960.0)) | {
