--- a/benchmarks/capacity/figures.py
+++ b/benchmarks/capacity/figures.py
@@ -68,11 +68,12 @@
     bend: str = ""
 
     def at(self, size: float) -> float:
-        """Within the span what was measured, in proportion between two sizes; outside it by the line's slope."""
+        """Within the span what was measured, in proportion between two sizes; outside it by the line's slope, but what
+        falls is not taken to fall on beyond the largest."""
         if size <= self.sizes[0]:
             return max(0.0, self.values[0] + self.slope * (size - self.sizes[0]))
         if size >= self.sizes[-1]:
-            return self.values[-1] + self.slope * (size - self.sizes[-1])
+            return self.values[-1] + max(0.0, self.slope) * (size - self.sizes[-1])
         n = bisect_right(self.sizes, size)
         part = (size - self.sizes[n - 1]) / (self.sizes[n] - self.sizes[n - 1])
         return self.values[n - 1] + part * (self.values[n] - self.values[n - 1])
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -263,6 +263,7 @@
     assert [slope.at(size) for size in (10, 20, 30, 160)] == [10, 20, 35, 170]
     assert first("made.bytes", "hosts").of(place) == 1
     assert slope.at(170) == pytest.approx(170 + 10 * slope.slope)
+    assert replace(slope, slope=-1.0).at(170) == 170
     assert line("made.bytes", formula(160), "hosts").beyond(place) == []
     assert line("made.bytes", formula(161), "hosts").beyond(place) == ["made.bytes"]
 
