--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -1,6 +1,6 @@
 """Makes the tables of docs/CAPACITY.md from docs/capacity.toml, and takes measurements into it.
 
-    python -m benchmarks.capacity [--check] [--take FILE.json ...] [--plot]
+    python -m benchmarks.capacity [--check] [--take FILE.json ... [--as PREFIX]] [--plot]
 
 `--check` changes nothing and names the first line of the page that differs. `--take` puts measurements of
 `python -m benchmarks.scale --json` into the file, `--plot` draws docs/capacity.png; both make the page's tables anew.
@@ -23,6 +23,7 @@
     parser = argparse.ArgumentParser("python -m benchmarks.capacity", description=(__doc__ or "").splitlines()[0])
     parser.add_argument("--check", action="store_true", help="change nothing; fail where page and arithmetic differ")
     parser.add_argument("--take", nargs="+", type=Path, default=[], metavar="FILE", help="measurements, JSON")
+    parser.add_argument("--as", dest="prefix", default="", metavar="PREFIX", help="before the names of what is taken")
     parser.add_argument("--plot", action="store_true", help="draw capacity.png")
     asked = parser.parse_args(words)
     if asked.check and (asked.take or asked.plot):
@@ -33,7 +34,7 @@
         before = text = path.read_text()
         for where in asked.take:
             document = tomlkit.parse(text)
-            taken = figures.take(document, json.loads(where.read_text()))
+            taken = figures.take(document, json.loads(where.read_text()), asked.prefix)
             text = tomlkit.dumps(document)
             print(f"{where.name}: {', '.join(taken)}")
         where = path
--- a/benchmarks/capacity/figures.py
+++ b/benchmarks/capacity/figures.py
@@ -268,9 +268,9 @@
     return 0.0 if abs(value) < NOTHING * beside else float(f"{value:.{DIGITS}g}")
 
 
-def take(document: TOMLDocument, measured: Any) -> list[str]:
+def take(document: TOMLDocument, measured: Any, prefix: str = "") -> list[str]:
     """A measurement's JSON into the file, or that of a virtual day, in place of what it had of it; the names taken.
-    Raises `Faulty`.
+    Raises `Faulty`. `prefix`: before its name, where it stands beside one of another version.
 
     The line is fitted here from the values, so that all lines of the page are made in one way.
     """
@@ -284,7 +284,7 @@
         raise Faulty("\n".join(reading.faults))
     if why := no_figure(top["sizes"]):
         raise Faulty(f"measured.sizes: {why}")
-    what, taken = top["what"], tomlkit.table()
+    what, taken = prefix + top["what"], tomlkit.table()
     for figure, row in top["figures"].items():
         wanted = {"unit": str, "counted": bool, "values": list, "fixed": float, "slope": float, "residual": float}
         fields = reading.fields(row, f"measured.figures.{figure}", wanted, {"predicted": object, "measured": float})
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from benchmarks.capacity.figures import Capacity, Faulty
-from benchmarks.capacity.formula import Formula, asked, assumed, each, first, known, line, most
+from benchmarks.capacity.formula import Formula, asked, assumed, count, each, first, known, line, most
 from benchmarks.capacity.places import (
     DAY,
     OCCASIONS,
@@ -125,14 +125,19 @@
 turned_apart = restart_entries * asked("region_apart_s") / regions
 registry_ms = turned * line("registry-watchers.change_cpu_ms", met_directors, "watchers")
 # A word of each member each second, an entry each.
-ledger_words = (directors * line("ledger-directors.word_us", directors, "directors")
-                + hosts * line("ledger-hosts.word_us", hosts, "hosts"))  # fmt: skip
+def ledger_words(of: str = "") -> Formula:
+    return (directors * line(f"{of}ledger-directors.word_us", directors, "directors")
+            + hosts * line(f"{of}ledger-hosts.word_us", hosts, "hosts"))  # fmt: skip
 
 
-def ledger(figure: str) -> Formula:
+# Measured anew, on a ledger that counts by what an entry changes.
+COUNTED, BY_CHANGES = "counted-", "`ironfall/permits/ledger.py`: by what an entry changes"
+
+
+def ledger(figure: str, of: str = "") -> Formula:
     """By hosts with few directors, and by more directors."""
-    grown = each(f"ledger-directors.{figure}", "directors")
-    return line(f"ledger-hosts.{figure}", hosts, "hosts") + grown * directors
+    grown = each(f"{of}ledger-directors.{figure}", "directors")
+    return line(f"{of}ledger-hosts.{figure}", hosts, "hosts") + grown * directors
 
 
 
@@ -235,17 +240,21 @@
     Row(KEEPER, "processor time for the edge of all members", "ms/s", ALL, keepers_edge, 3 * CORE_WHOLE,
         "`ironfall/keeper/server.py`, three processes of one core each", safety=True,
         after={"observers": (line("observed-rest.keepers_cpu_ms_s", members, "members"), OBSERVERS)}),
-    Row(KEEPER, "processor time of the ledger for words", "ms/s", ALL, ledger_words / 1000, CORE_WHOLE,
+    Row(KEEPER, "processor time of the ledger for words", "ms/s", ALL, ledger_words() / 1000, CORE_WHOLE,
         "`ironfall/permits/ledger.py`: a walk over scopes for each word", safety=True,
-        after={"observers": (led_ms + ledger("tick_us") / 1000, COLLECTOR)}),
+        after={"counted": (ledger_words(COUNTED) / 1000, BY_CHANGES),
+               "observers": (led_ms + ledger("tick_us", COUNTED) / 1000, COLLECTOR)}),
     Row(KEEPER, "longest entry", "ms", ALL, line("ledger-hosts.list_us", hosts, "hosts") / 1000, ELECTION,
         "`ironfall/permits/ledger.py`, in one call", safety=True,
-        says="of one host's line; longer than an election stops the group"),
+        says="of one host's line; longer than an election stops the group",
+        after={"counted": (line("counted-ledger-hosts.list_us", hosts, "hosts") / 1000, BY_CHANGES)}),
     Row(KEEPER, "tick", "ms", ALL, ledger("tick_us") / 1000, ELECTION, "`ironfall/permits/ledger.py`, in one call",
-        safety=True),
-    Row(KEEPER, "snapshot", "ms", ALL, ledger("snapshot_ms"), ELECTION, "`Ledger.snapshot`, in one call", safety=True),
+        safety=True, after={"counted": (ledger("tick_us", COUNTED) / 1000, BY_CHANGES)}),
+    Row(KEEPER, "snapshot", "ms", ALL, ledger("snapshot_ms"), ELECTION, "`Ledger.snapshot`, in one call", safety=True,
+        after={"counted": (count("snapshot_stop_ms"), "`Ledger.parts`: taken at once, made in parts")}),
     Row(KEEPER, "restored from a snapshot", "ms", ("keepers", "region"), ledger("restore_ms"), ELECTION,
-        "`Ledger.restore`, in one call", safety=True),
+        "`Ledger.restore`, in one call", safety=True,
+        after={"counted": (ledger("restore_ms", COUNTED), "`Ledger.restore`, in one call")}),
     Row(KEEPER, "snapshot's bytes", "B", ALL, ledger("snapshot_bytes"), known("BOUNDS.snapshot", BOUNDS.snapshot),
         "`ironfall/keeper/keeper.py`: parts of 256 KiB", safety=True),
     Row(KEEPER, "the ledger's memory", "MB", ALL, ledger("memory_bytes") / MEBI, assumed("memory_gb") * 1024,
@@ -274,7 +283,7 @@
         (2 * lost_directors + lost_hosts + turned_apart) / room, IN_FORCE,
         "`ironfall/director/member.py`, `ironfall/lab/registry.py`: all said anew"),
     Row(KEEPER, "processor time of keepers and registry together", "ms/s", ALL,
-        ledger_words / 1000 + keepers_edge + registry_ms, machines,
+        ledger_words() / 1000 + keepers_edge + registry_ms, machines,
         f"each one process; dealt over the machines: {MISSING}"),
     Row(KEEPER, "hosts of a region that stay out for its hour", "hosts", ("region",),
         asked("restarts_per_day") / DAY * assumed("out_s") / regions, BUDGET * hosts / regions,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -178,6 +178,7 @@
 
 def test_a_measurement_is_taken_in_place_of_the_one_before_and_keeps_what_was_said_of_its_bend():
     document = tomlkit.parse((DOCS / "capacity.toml").read_text())
+    assert figures.take(document, measured(), "other-") == ["other-made.bytes"]
     assert figures.take(document, measured()) == ["made.bytes"]
     document["slope"]["made"]["bytes"]["bend"] = "here is why"
     figures.take(document, measured(values=(20.0, 40.0, 80.0, 330.0)))
