--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -111,6 +111,7 @@
 machines = asked("machines") * assumed("cores") * CORE_WHOLE
 led_ms = line("observers.leader_ms_s", members, "members")
 died_ms = line("observed-death.known_ms", service_directors, "members")
+# Of a member each; by itself, and as a director with its whole membership.
 observed_bytes = most("observed.member_bytes_out_s", "members") + most("observed.member_bytes_in_s", "members")
 OBSERVERS, HOMING = "`ironfall/observers/`", "`ironfall/observers/homing.py`"
 COLLECTOR = "`ironfall/observers/collector.py`: digests"
@@ -134,6 +135,10 @@
 COUNTED, BY_CHANGES = "counted-", "`ironfall/permits/ledger.py`: by what an entry changes"
 
 
+def observed(figure: str) -> Formula:
+    return line(f"observed-director.{figure}", directors, "members")
+
+
 def ledger(figure: str, of: str = "") -> Formula:
     """By hosts with few directors, and by more directors."""
     grown = each(f"{of}ledger-directors.{figure}", "directors")
@@ -213,10 +218,10 @@
     Row(MEMBER, "processor time", "ms/s", ALL, member("cpu_ms_s"), CORE,
         "`ironfall/director/member.py`, a word each second",
         says="what being one of a fleet costs: the milder reading",
-        after={"observers": (most("observed.member_cpu_us_s", "members") / 1000, HOMING)}),
+        after={"observers": (observed("member_cpu_us_s") / 1000, HOMING)}),
     Row(MEMBER, "bytes in and out", "B/s", ALL, member_bytes, WIRE,
         "`ironfall/director/member.py`, its word whole each second", says="the milder reading",
-        after={"observers": (observed_bytes, HOMING)}),
+        after={"observers": (observed("member_bytes_out_s") + observed("member_bytes_in_s"), HOMING)}),
     Row(AGENT, "bytes in and out", "B/s", ALL, agent_bytes, WIRE,
         "an operator's own; `ironfall/lab/agents.py` (a stand-in), word and poll each second",
         says="nothing is asked of it; held against a director's limit",
