--- a/benchmarks/capacity/figures.py
+++ b/benchmarks/capacity/figures.py
@@ -68,11 +68,12 @@
     bend: str = ""
 
     def at(self, size: float) -> float:
-        """Within the span what was measured, in proportion between two sizes; outside it by the line's slope."""
+        """Within the span what was measured, in proportion between two sizes; outside it by the line's slope, but what
+        falls is not taken to fall on beyond the largest."""
         if size <= self.sizes[0]:
             return max(0.0, self.values[0] + self.slope * (size - self.sizes[0]))
         if size >= self.sizes[-1]:
-            return self.values[-1] + self.slope * (size - self.sizes[-1])
+            return self.values[-1] + max(0.0, self.slope) * (size - self.sizes[-1])
         n = bisect_right(self.sizes, size)
         part = (size - self.sizes[n - 1]) / (self.sizes[n] - self.sizes[n - 1])
         return self.values[n - 1] + part * (self.values[n] - self.values[n - 1])
@@ -267,9 +268,9 @@
     return 0.0 if abs(value) < NOTHING * beside else float(f"{value:.{DIGITS}g}")
 
 
-def take(document: TOMLDocument, measured: Any) -> list[str]:
+def take(document: TOMLDocument, measured: Any, prefix: str = "") -> list[str]:
     """A measurement's JSON into the file, or that of a virtual day, in place of what it had of it; the names taken.
-    Raises `Faulty`.
+    Raises `Faulty`. `prefix`: before its name, where it stands beside one of another version.
 
     The line is fitted here from the values, so that all lines of the page are made in one way.
     """
@@ -283,7 +284,7 @@
         raise Faulty("\n".join(reading.faults))
     if why := no_figure(top["sizes"]):
         raise Faulty(f"measured.sizes: {why}")
-    what, taken = top["what"], tomlkit.table()
+    what, taken = prefix + top["what"], tomlkit.table()
     for figure, row in top["figures"].items():
         wanted = {"unit": str, "counted": bool, "values": list, "fixed": float, "slope": float, "residual": float}
         fields = reading.fields(row, f"measured.figures.{figure}", wanted, {"predicted": object, "measured": float})
@@ -327,8 +328,8 @@
 
 
 def _command(text: str) -> str:
-    """Without the file that it wrote."""
-    return re.sub(r" --json \S+", "", text)
+    """Without the file that it wrote, and those that it read by their names alone."""
+    return re.sub(r" /(\S*/)?", " ", re.sub(r" --json \S+", "", text))
 
 
 def _taken(top: Mapping[str, Any], row: Mapping[str, Any]) -> Table:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -16,7 +16,7 @@
 from benchmarks.capacity import __main__ as command
 from benchmarks.capacity import figures, plot, roles, tables
 from benchmarks.capacity.bounds import BOUNDS_OF_TODAY
-from benchmarks.capacity.formula import asked, formula, line
+from benchmarks.capacity.formula import asked, first, formula, line
 from benchmarks.capacity.places import OCCASIONS, SAID, Place, Service, service_hosts, spread, weights
 from benchmarks.scale import frame
 
@@ -178,6 +178,7 @@
 
 def test_a_measurement_is_taken_in_place_of_the_one_before_and_keeps_what_was_said_of_its_bend():
     document = tomlkit.parse((DOCS / "capacity.toml").read_text())
+    assert figures.take(document, measured(), "other-") == ["other-made.bytes"]
     assert figures.take(document, measured()) == ["made.bytes"]
     document["slope"]["made"]["bytes"]["bend"] = "here is why"
     figures.take(document, measured(values=(20.0, 40.0, 80.0, 330.0)))
@@ -192,14 +193,14 @@
             "open": 2, "kinds": {}}  # fmt: skip
     still = step | {"entries": 0, "longest_kind": "", "kinds": {"part": {"longest_s": 0.0054321}}}
     made = {"what": "day", "hosts": 930, "directors": 120, "hours": 24, "day": "2026-12-02", "seed": 1,
-            "command": "python -m made --json /there/it --seed 1", "left_out": "all",
+            "command": "python -m made --json /there/it --after /there/a.json /b.json --seed 1", "left_out": "all",
             "findings": ["one"], "steps": [step, still]}  # fmt: skip
     document = tomlkit.parse((DOCS / "capacity.toml").read_text())
     assert figures.take(document, made) == figures.take(document, made) == ["day.of-930"]
     capacity = figures.read(tomllib.loads(tomlkit.dumps(document)))
     assert capacity.days["of-930"].steps[0].cpu_s == 0.123457
     assert "| rack | 0 | 9.0e-05 | 0.123 | part 5.43 ms |  | 2 |" in "\n".join(tables.days(capacity))
-    assert capacity.days["of-930"].command == "python -m made --seed 1"
+    assert capacity.days["of-930"].command == "python -m made --after a.json b.json --seed 1"
     assert "- one" in tables.days(capacity)
     with pytest.raises(figures.Faulty, match="measured.steps.0.open: missing"):
         figures.take(document, made | {"steps": [{n: v for n, v in step.items() if n != "open"}]})
@@ -261,7 +262,9 @@
     capacity = figures.read(tomllib.loads(tomlkit.dumps(document)))
     slope, place = capacity.slopes["made.bytes"], Place(capacity, Service("all", 1.0), OCCASIONS["calm"])
     assert [slope.at(size) for size in (10, 20, 30, 160)] == [10, 20, 35, 170]
+    assert first("made.bytes", "hosts").of(place) == 1
     assert slope.at(170) == pytest.approx(170 + 10 * slope.slope)
+    assert replace(slope, slope=-1.0).at(170) == 170
     assert line("made.bytes", formula(160), "hosts").beyond(place) == []
     assert line("made.bytes", formula(161), "hosts").beyond(place) == ["made.bytes"]
 
@@ -292,7 +295,7 @@
     held = copy.deepcopy(HELD)
     held["mechanism"] = {"observers": {"what": "members at rest cost the log nothing", "module": "there"}}
     document = tomlkit.parse(tomlkit.dumps(held))
-    rest = measured("observed-members", "members", (1.0, 1.0, 1.0, 1.0))
+    rest = measured("observed-rest", "members", (1.0, 1.0, 1.0, 1.0))
     rest["figures"] = {"entries_s": rest["figures"]["bytes"]}
     figures.take(document, rest)
     figures.take(document, measured("keeper-entries", "askers", (900.0, 950.0, 960.0, 960.0)) | {
@@ -319,7 +322,10 @@
 def test_a_bound_of_today_binds_by_what_the_code_has():
     rows = {row[0]: row for row in (tables._bound(changed(), b) for b in BOUNDS_OF_TODAY)}
     assert len(rows) == len(BOUNDS_OF_TODAY)
-    assert rows["hosts of the ledger"][4] == ("no" if BOUNDS_OF_TODAY[0].value >= 93_000 else "**yes**")
+    first = BOUNDS_OF_TODAY[0]
+    bound = "set by `(hosts N)`" if first.settable else "**yes**"
+    assert first.name == "hosts of the ledger" and rows[first.name][4] == (bound if first.value < 93_000 else "no")
+    assert rows["exchanges in hand of a proxy"][4] == "no"
     few = {b.name: tables._bound(changed(hosts=1_000, directors=200), b)[4] for b in BOUNDS_OF_TODAY}
     assert few["hosts of the ledger"] == few["askers"] == "no"
     assert service_hosts.text in next(b for b in BOUNDS_OF_TODAY if "hosts met" in b.name).need.text
