--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -16,7 +16,7 @@
 from benchmarks.capacity import __main__ as command
 from benchmarks.capacity import figures, plot, roles, tables
 from benchmarks.capacity.bounds import BOUNDS_OF_TODAY
-from benchmarks.capacity.formula import asked, formula, line
+from benchmarks.capacity.formula import asked, first, formula, line
 from benchmarks.capacity.places import OCCASIONS, SAID, Place, Service, service_hosts, spread, weights
 from benchmarks.scale import frame
 
@@ -261,7 +261,9 @@
     capacity = figures.read(tomllib.loads(tomlkit.dumps(document)))
     slope, place = capacity.slopes["made.bytes"], Place(capacity, Service("all", 1.0), OCCASIONS["calm"])
     assert [slope.at(size) for size in (10, 20, 30, 160)] == [10, 20, 35, 170]
+    assert first("made.bytes", "hosts").of(place) == 1
     assert slope.at(170) == pytest.approx(170 + 10 * slope.slope)
+    assert replace(slope, slope=-1.0).at(170) == 170
     assert line("made.bytes", formula(160), "hosts").beyond(place) == []
     assert line("made.bytes", formula(161), "hosts").beyond(place) == ["made.bytes"]
 
@@ -292,7 +294,7 @@
     held = copy.deepcopy(HELD)
     held["mechanism"] = {"observers": {"what": "members at rest cost the log nothing", "module": "there"}}
     document = tomlkit.parse(tomlkit.dumps(held))
-    rest = measured("observed-members", "members", (1.0, 1.0, 1.0, 1.0))
+    rest = measured("observed-rest", "members", (1.0, 1.0, 1.0, 1.0))
     rest["figures"] = {"entries_s": rest["figures"]["bytes"]}
     figures.take(document, rest)
     figures.take(document, measured("keeper-entries", "askers", (900.0, 950.0, 960.0, 960.0)) | {
