--- a/benchmarks/scale/releases.py
+++ b/benchmarks/scale/releases.py
@@ -4,7 +4,7 @@
 
 from ironfall.lab.releases_sim import Sim
 
-SIZES = (20, 40, 80, 160, 320)
+SIZES = (30, 60, 120, 480)
 BY = "directors"
 FIGURES = {"seconds": "s of the virtual clock", "of_shortest": "ratio", "entries": "entries", "cpu_s": "s",
            "cpu_ms_s": "ms/s of the virtual clock"}  # fmt: skip
