Run observers as processes, and let members beat at them

Each agent's and director's word was an entry of the log. Where the terms name observers, a process of `ironfall observer` hears its zone's members over HTTP, reports to the leader each second, and hands marks on; the leader keeps a collector for each reign and puts its digests into the log after the tick. Directors and agents beat by a Homing with kept connections; without observers in the terms all is as before.

--- a/ironfall/cli/fleet.py
+++ b/ironfall/cli/fleet.py
@@ -43,6 +43,33 @@
     sys.exit(program.wait())
 
 
+@main.command()
+@click.argument("file", type=FILE)
+@click.option("--name", required=True, help="Which observer of the terms this is.")
+@click.option("--seed", type=int, help="Of its chance; a fresh one if left out.")
+def observer(file: Path, name: str, seed: int | None) -> None:
+    """Run one observer of the terms in FILE, until SIGTERM: it hears the members of its zone, and tells the keepers.
+
+    \b
+    Example:
+      ironfall --log json observer deploy/terms/observed.sexp --name o1
+    """
+    from ironfall.observer.program import Program
+
+    terms = terms_from(file)
+    known = [one.name for one in terms.fleet.observers]
+    if name not in known:
+        raise click.BadParameter(f"{name!r} is no observer of these terms; they name: {', '.join(known) or 'none'}",
+                                 param_hint="--name")  # fmt: skip
+    try:
+        program = Program(terms, name, structlog.get_logger().bind(observer=name), seed)
+        program.start()
+    except OSError as cause:
+        click.echo(f"can't start: {cause}", err=True)
+        sys.exit(1)
+    sys.exit(program.wait())
+
+
 @main.group()
 def fleet() -> None:
     """What the keepers agreed on: look, ask, halt, lift, release. Exit 0 done, 1 refused, 2 usage, 3 nobody answers."""
@@ -114,6 +141,12 @@
     voters, learners = told["members"]
     click.echo(f"{told['leader']} leads reign {told['reign']}, entry {told['index']}; members: {', '.join(voters)}"
                + (f"; learning: {', '.join(learners)}" if learners else ""))  # fmt: skip
+    observed = told.get("observed", {})
+    for zone in observed.get("unknown", ()):
+        click.echo(f"unknown  zone {zone}: none of its observers is heard; nothing there begins, and no host goes out")
+    for name, one in observed.get("observers", {}).items():
+        heard = f"heard {one['heard'] / 10_000:.1f} s ago" if one["heard"] >= 0 else "not heard in this reign"
+        click.echo(f"observer {name} of {one['zone']}, {heard}: {one['members']} members, {one['gone']} of them gone")
     for scope, halt in ledger["halts"].items():
         click.echo(f"halt     {scope} by {halt['by']}: {halt['reason']}")
     for unit, permit in ledger["permits"].items():
--- a/ironfall/director/member.py
+++ b/ironfall/director/member.py
@@ -14,9 +14,11 @@
 from ironfall.director.live import Live
 from ironfall.director.stands import Stands
 from ironfall.keeper import client
+from ironfall.observer.client import Heartbeats, Unheard
 
 SECOND = 10_000
 EVERY = 1.0  # seconds between two words
+SHORTEST = 0.05
 
 
 class Keepers(Protocol):
@@ -27,10 +29,6 @@
         ...
 
 
-class Unheard(OSError):
-    """No keeper said what became of an entry."""
-
-
 class Way:
     """`Keepers` by their client end, each ask within `seconds`."""
 
@@ -83,9 +81,11 @@
 class Member:
     """`start` and `stop`; all that fails is counted, and logged when it begins and ends."""
 
-    def __init__(self, live: Live, keepers: Keepers, name: str, zone: str, version: str, lease: int, drift: float,
-                 seed: int, monotonic: Callable[[], float] = time.monotonic) -> None:  # fmt: skip
-        self.live, self.keepers, self.monotonic = live, keepers, monotonic
+    def __init__(self, live: Live, keepers: Keepers | Heartbeats, name: str, zone: str, version: str, lease: int,
+                 drift: float, seed: int, monotonic: Callable[[], float] = time.monotonic) -> None:  # fmt: skip
+        """`keepers`: the way to them; or to the observers of its zone, where the terms name some."""
+        self.live, self.monotonic = live, monotonic
+        self.keepers, self.beats = (None, keepers) if isinstance(keepers, Heartbeats) else (keepers, None)
         service = live.terms.service
         self.stands = Stands(live.publication, live.sessions, live.channel, len(live.terms.classes),
                              service.queue_limit, service.bare_time, service.drain_grace)  # fmt: skip
@@ -99,7 +99,7 @@
         self.told: gevent.Greenlet | None = None
 
     def start(self) -> None:
-        self.told = gevent.spawn(self._run)
+        self.told = gevent.spawn(self._run if self.beats is None else self._beat)
 
     def stop(self) -> None:
         if self.told is not None:
@@ -127,8 +127,41 @@
             else:
                 self.wait = EVERY
 
+    def _beat(self) -> None:
+        assert self.beats is not None
+        while True:
+            gevent.sleep(max(SHORTEST, self.beats.wait()))
+            try:
+                self.beat(self.beats)
+            except Exception as cause:  # whatever an observer or the way to it does must not end this
+                self.live.count("keepers unheard")
+                self._trouble(f"{type(cause).__name__}: {cause}"[:200])
+                if not isinstance(cause, Unheard):  # then no next time is set
+                    gevent.sleep(EVERY)
+
+    def beat(self, beats: Heartbeats) -> None:
+        """Say what it stands for to its observer, which tells the keepers what changed. Raises `Unheard`."""
+        member, unit = self.membership, f"director/{self.membership.name}"
+        said = beats.say({unit: (member.incarnation, self._word() | {"version": member.version})})
+        if unit in said["over"]:
+            member.incarnation = max(member.incarnation, int(said["over"][unit]))
+            member.over()
+            return self._trouble(f"not joined: incarnation {said['over'][unit]} is over")
+        if unit in said["full"] or unit in said["refused"]:
+            return self._trouble(f"its word counts for nothing: {said['refused'].get(unit, 'no room')}"[:200])
+        member.until = max(member.until, beats.homing.lasts(beats.now()))
+        if unit not in said["whole"]:
+            self.live.count("words said")
+        return self._trouble("")
+
+    def _word(self) -> dict[str, Any]:
+        for _ in self.stands.look(self.live.clock.now(), list(self.live.roster.ids), self._silent()):
+            gevent.sleep(0)
+        return self.stands.word | {"leaving": self.leaving, "token": self.token}
+
     def once(self) -> None:
         """Renew what is due, and say the word. Raises what the way to the keepers raises."""
+        assert self.keepers is not None
         member, now = self.membership, int(self.monotonic() * SECOND)
         if member.due(now):
             answer = self.keepers.ask(member.join())
@@ -138,10 +171,7 @@
                 member.over()
                 return self._trouble(f"not joined: {answer['no']}"[:200])
             member.joined(now)
-        for _ in self.stands.look(self.live.clock.now(), list(self.live.roster.ids), self._silent()):
-            gevent.sleep(0)
-        word = self.stands.word | {"leaving": self.leaving, "token": self.token}
-        answer = self.keepers.ask(member.say(word))
+        answer = self.keepers.ask(member.say(self._word()))
         told = answer.get("ok") if isinstance(answer, dict) else None
         if told is None:
             raise ValueError(f"its word was refused: {str(answer)[:80]}")
--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -29,6 +29,7 @@
 from ironfall.logic import Director
 from ironfall.metrics.point import Malformed
 from ironfall.metrics.service import Metrics
+from ironfall.observer.client import Heartbeats
 from ironfall.terms import Terms
 
 SECOND = 10_000
@@ -43,7 +44,8 @@
 
     def __init__(self, terms: Terms, log: Any, name: str = "director", zone: str = "", seed: int | None = None,
                  decide: Decide = Director, record: TextIO | None = None,
-                 monotonic: Callable[[], float] = time.monotonic, keepers: Keepers | None = None) -> None:  # fmt: skip
+                 monotonic: Callable[[], float] = time.monotonic,
+                 keepers: Keepers | Heartbeats | None = None) -> None:  # fmt: skip
         self.terms, self.log, self.name = terms, log, name
         self.zone = zone or terms.zones[0]
         seed = secrets.randbits(63) if seed is None else seed
@@ -64,7 +66,10 @@
         self.files = Files(self.live, terms.files, log) if terms.files.path else None
         self.member: Member | None = None
         fleet = terms.fleet
-        if keepers is None and fleet.keepers:
+        if keepers is None and any(one.zone == self.zone for one in fleet.observers):
+            keepers = Heartbeats(self.zone, fleet.observers, fleet.lease, random.Random(seed + 3), monotonic,
+                                 lambda to: log.info("beats at another observer", observer=to))  # fmt: skip
+        elif keepers is None and fleet.keepers:
             client = KeepersClient(fleet.keepers, f"director {name}"[:100], random.Random(seed + 3), monotonic)
             keepers = Way(client, fleet.lease / SECOND / 4)
         if keepers is not None:
--- a/ironfall/keeper/client.py
+++ b/ironfall/keeper/client.py
@@ -79,7 +79,7 @@
         self.order = list(self.keepers)
         self.chance.shuffle(self.order)  # not all askers at the first keeper
         # Asks come into effect in order, one at a time; neither a held poll nor a look waits for them.
-        self.asks, self.looks, self.polls = _Lines(), _Lines(), _Lines()
+        self.asks, self.looks, self.polls, self.reports = _Lines(), _Lines(), _Lines(), _Lines()
         self.counts: dict[str, int] = {}
         self._anew()
 
@@ -87,7 +87,7 @@
         self.asker, self.number, self.known = f"{self.base}/{self.fresh()}", 0, False
 
     def close(self) -> None:
-        for lines in (self.asks, self.looks, self.polls):
+        for lines in (self.asks, self.looks, self.polls, self.reports):
             lines.close()
 
     def ask(self, entry: dict[str, Any], seconds: float = 5.0) -> Heard:
@@ -129,6 +129,17 @@
             return Heard("doubt", heard.told, heard.text)
         return heard
 
+    def observed(self, report: dict[str, Any], seconds: float) -> Heard:
+        """An observer's report, to the leader. Said again within `seconds` it is the same one and counts once; what it
+        did not bring the next one does. `told` has the answer, also where that says why it counts for nothing."""
+        until, body = self.monotonic() + seconds, json.dumps(report, separators=(",", ":")).encode()
+
+        def judge(answer: Answer, told: dict[str, Any]) -> Heard | None:
+            return Heard("", told) if answer.status == 200 and "stamp" in told else None
+
+        return self._alone(self.reports, seconds, lambda: self._round(self.reports, until, "POST", "/v1/fleet/observed",
+                                                                      body, judge)[0])  # fmt: skip
+
     def look(self, seconds: float = 5.0) -> Heard:
         """What stands, agreed by a majority since this call."""
         until = self.monotonic() + seconds
@@ -206,6 +217,7 @@
                 patience = min(LATE, 1.5 * patience)
             else:
                 if (found := judge(answer, heard.told)) is not None:
+                    self.leader = "" if found.why else name
                     return found, cut
                 if answer.status in (400, 404, 405, 413, 431):
                     return Heard("refused", heard.told, last), cut
--- a/ironfall/keeper/keeper.py
+++ b/ironfall/keeper/keeper.py
@@ -309,13 +309,17 @@
 
     # what is asked of it
 
+    def awake(self) -> None:
+        """Where this process stood still: first of all, does it still lead?"""
+        if self.now() > self.alarm_at + self.bounds.beat:
+            self._tell("woken")
+
     def call(self, what: str, seconds: float, *about: Any, read: Callable[[], Any] | None = None
              ) -> tuple[Outcome, Any]:  # fmt: skip
         """Told to the member, and waited for. The member's own bounds hold for how many may wait."""
         if self.member is None:
             return Outcome.AWAY, b""
-        if self.now() > self.alarm_at + self.bounds.beat:
-            self._tell("woken")  # this process stood still: first of all, does it still lead?
+        self.awake()
         self.tokens += 1
         token = self.tokens
         waiter: AsyncResult[tuple[Outcome, Any]] = AsyncResult()
--- a/ironfall/keeper/program.py
+++ b/ironfall/keeper/program.py
@@ -18,6 +18,7 @@
 from ironfall.api.http import HttpClient, HttpServer
 from ironfall.durable.disk import Disk
 from ironfall.keeper.keeper import BOUNDS, LOOKS, Keeper
+from ironfall.keeper.observed import Observed
 from ironfall.keeper.server import MARKS_TIME, Api
 from ironfall.keeper.sums import whole
 from ironfall.terms import Terms
@@ -43,7 +44,9 @@
         limits = terms.limits
         http = HttpBounds(limits.held, BODY, limits.header_time / SECOND, MARKS_TIME + limits.idle / SECOND,
                           limits.write_time / SECOND)  # fmt: skip
-        self.api = Api(self.keeper)
+        observers = {one.name: one.zone for one in terms.fleet.observers}
+        self.observed = Observed(self.keeper, observers) if observers else None
+        self.api = Api(self.keeper, self.observed)
         self.server = HttpServer(dict(group)[name], http, self.api.handle)
         self.done = Event()
 
@@ -90,6 +93,9 @@
                 # What is in doubt is found due again at the next beat, by whoever leads then.
                 if keeper.ask("", 0, entry, 2 * TICK)[0] is not Outcome.DONE:
                     break
+            else:
+                if self.observed is not None:
+                    self.observed.put()
 
     def _find_group(self) -> None:
         """A blank keeper asks the others who they are. One that its group began with is told so by any of them; a
--- a/ironfall/keeper/server.py
+++ b/ironfall/keeper/server.py
@@ -9,8 +9,9 @@
 
 from ironfall.agreement import Outcome
 from ironfall.api.http import Answer, HttpClient, Refused, Request
-from ironfall.keeper.keeper import Keeper
+from ironfall.keeper.keeper import LEADER, Keeper
 from ironfall.keeper.machine import FORGOTTEN, FULL
+from ironfall.keeper.observed import Observed
 from ironfall.keeper.sums import SUM, answered, asked, whole
 
 ASK_TIME = 5.0  # seconds until an ask is answered with doubt
@@ -33,8 +34,9 @@
 
 
 class Api:
-    def __init__(self, keeper: Keeper) -> None:
-        self.keeper = keeper
+    def __init__(self, keeper: Keeper, observed: Observed | None = None) -> None:
+        """`observed`: where the terms name observers."""
+        self.keeper, self.observed = keeper, observed
         self.polls: set[Event] = set()
         self.marked: tuple[int, Any] = (0, None)  # since which index, and what the marks are
         self.marked_at, self.heard = -1, False
@@ -46,6 +48,8 @@
             ("GET", "/v1/fleet/look"): self._look,
             ("GET", "/v1/fleet/marks"): self._marks,
         }
+        if observed is not None:
+            self.routes["POST", "/v1/fleet/observed"] = self._observed
 
     def handle(self, request: Request) -> Answer:
         try:
@@ -130,11 +134,30 @@
         index, _, said = answer.partition(b"\n")
         return _sealed(200, b'{"index":%s,"answer":%s}\n' % (index, said), {})
 
+    def _observed(self, request: Request) -> Answer:
+        """An observer's report. Its stamp proves what it says, and where this leads no more nothing of it comes into
+        the log: no round among keepers is made for it."""
+        if "sum" not in request.query:
+            raise Refused(400, "what an observer says has its sum with it")
+        keeper, member = self.keeper, self.keeper.member
+        keeper.awake()
+        if member is None or member.role != LEADER or keeper.member is not member:
+            return self._away(member.leader if member else "")
+        assert self.observed is not None
+        collector = self.observed.collector()
+        if collector is None:
+            return _answer(503, {"why": "a reign that has only begun"}, True)
+        try:
+            return _answer(200, collector.report(keeper.now(), self._body(request)))
+        except ValueError as wrong:
+            raise Refused(400, str(wrong)) from None
+
     def _seen(self) -> dict[str, Any]:
         member, ledger = self.keeper.member, self.keeper.machine.ledger
         assert member is not None
         return {"index": member.commit, "reign": member.reign, "leader": member.leader.partition("/")[0],
-                "members": member.members.plain(), "ledger": ledger.look()}  # fmt: skip
+                "members": member.members.plain(), "ledger": ledger.look(),
+                **({"observed": self.observed.look()} if self.observed else {})}  # fmt: skip
 
     def _look(self, request: Request) -> Answer:
         keeper, member = self.keeper, self.keeper.member
--- a/ironfall/lab/agents.py
+++ b/ironfall/lab/agents.py
@@ -11,9 +11,11 @@
 
 import gevent
 
-from ironfall.director.member import Unheard, Way
+from ironfall.director.member import Way
 from ironfall.durable.disk import Disk
 from ironfall.durable.records import seal, unseal
+from ironfall.observer.client import Heartbeats, Unheard
+from ironfall.observers.heartbeats import BEATS
 from ironfall.permits import Fence
 
 if TYPE_CHECKING:
@@ -21,6 +23,7 @@
 
 SECOND = 10_000
 EVERY = 1.0  # seconds between two words
+SHORTEST = 0.05
 LONGEST = 5.0  # seconds between two tries
 REST = SECOND  # without any exchange, before an agent stops its host
 Marks = list[tuple[str, str, int]]  # unit, what it is to be (leaving, stopped, starting, ready), token
@@ -111,9 +114,9 @@
         return {"inc": self.process.incarnation, "n": self.number, "up": self.process.up, "quiet": self.quiet(now),
                 "token": self.done[1]}  # fmt: skip
 
-    def ordered(self, now: int, want: str, token: int) -> bool:
-        """A mark of the keepers; False for one older than the newest. Raises `OSError` where it can't be kept: then
-        nothing was done, and it is to be told again."""
+    def ordered(self, now: int, want: str, token: int, said: int | None = None) -> bool:
+        """A mark of the keepers, who said it at `said`, now if left out; False for one older than the newest. Raises
+        `OSError` where it can't be kept: then nothing was done, and it is to be told again."""
         known = self.fence.tokens.get(self.unit, 0)
         if not self.fence.allows(self.unit, token):
             self.tell("older", unit=self.unit, token=token, newest=known)
@@ -124,7 +127,7 @@
             self.save()
         if self.order is not None or (want, token) != self.done:
             # Under one token it may be less than before: what a halt calls back is not to be stopped any more.
-            self.order, self.told = (want, token), now
+            self.order, self.told = (want, token), now if said is None else said
         self.act(now)
         return True
 
@@ -151,13 +154,14 @@
         self.agents, self.now = {agent.name: agent for agent in agents}, now
         self.cut: set[str] = set()  # hosts whose agents neither hear nor are heard
 
-    def marked(self, marks: Marks) -> None:
+    def marked(self, marks: Marks, said: int | None = None) -> None:
+        """`said`: when keepers did, where that is known to be earlier than now."""
         failed: OSError | None = None
         for unit, want, token in marks:
             kind, _, name = unit.partition("/")
             if kind == "host" and name in self.agents and name not in self.cut:
                 try:
-                    self.agents[name].ordered(self.now(), want, token)
+                    self.agents[name].ordered(self.now(), want, token, said)
                 except OSError as cause:
                     failed = cause  # one disk that is full holds up no other host
         if failed:
@@ -174,6 +178,49 @@
         if words:
             keepers.ask({"k": "agents", "hosts": words})
 
+    def beat(self, names: Iterable[str], beats: Heartbeats, first: int) -> None:
+        """What `say` does, of some, to an observer of their zone; and what it tells is done. `first`: where the numbers
+        of this start begin. Raises `Unheard`, and what `marked` does."""
+        now, words, quiet = self.now(), dict[str, tuple[int, dict[str, Any]]](), dict[str, int]()
+        for name in names:
+            agent = self.agents[name]
+            agent.act(now)
+            if name not in self.cut:
+                word = agent.word(now)
+                words[agent.unit] = word["inc"], {"up": word["up"], "token": word["token"]}
+                quiet[agent.unit] = word["quiet"]
+        beats.say(words, quiet, dict.fromkeys(words, first))
+        self.marked(beats.marks, beats.marked_at)
+
+
+class Beating:
+    """A greenlet for the hosts of one zone, as many as one message takes."""
+
+    def __init__(self, agents: Agents, names: list[str], beats: Heartbeats, first: int, log: Any) -> None:
+        self.agents, self.names, self.beats, self.first, self.log = agents, names, beats, first, log
+        self.trouble = ""
+        self.job = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        self.job.kill(block=False)
+        self.beats.close()
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(max(SHORTEST, self.beats.wait()))
+            try:
+                self.agents.beat(self.names, self.beats, self.first)
+            except Exception as cause:  # whatever an observer or a disk does must not end this
+                if not self.trouble:
+                    self.log.warning("beats of hosts fail", cause=f"{type(cause).__name__}: {cause}"[:200])
+                self.trouble = repr(cause)[:200]
+                if not isinstance(cause, Unheard):
+                    gevent.sleep(EVERY)
+            else:
+                if self.trouble:
+                    self.log.info("beats of hosts go on")
+                self.trouble = ""
+
 
 class Again:
     """A greenlet that does one thing again and again; each failure is counted, and waited after, with jitter.
@@ -244,9 +291,23 @@
 def watch(fleet: "Fleet", keepers: Callable[[str], Keepers], kept: Kept, now: Callable[[], int], lasts: int,
           chance: random.Random, log: Any) -> tuple[Agents, list[Again]]:  # fmt: skip
     """Agents on all hosts of a process, with one state between them. `lasts` as `Agent` has it."""
-    fence = Fence(kept.state["tokens"])
-    agents = Agents([Agent(host.name, Watched(host), fence, lambda: kept.save(tokens=fence.state()), kept.first(),
-                           now(), REST, lasts, host.tell) for host in fleet.hosts.values()], now)  # fmt: skip
+    agents = _agents(fleet, kept, now, lasts)
     says, hears = keepers("agents"), Follow(keepers("agents"), agents.marked)
     return agents, [Again(lambda: agents.say(says), EVERY, chance, log, "telling of hosts"),
                     Again(hears.once, 0.0, chance, log, "following marks")]  # fmt: skip
+
+
+def watch_observed(fleet: "Fleet", beats: Callable[[str], Heartbeats], kept: Kept, now: Callable[[], int], lasts: int,
+                   log: Any) -> tuple[Agents, list[Beating]]:  # fmt: skip
+    """The same where the terms name observers: `beats` makes the way to those of a zone."""
+    agents, zones = _agents(fleet, kept, now, lasts), dict[str, list[str]]()
+    for host in fleet.hosts.values():
+        zones.setdefault(host.zone, []).append(host.name)
+    return agents, [Beating(agents, names[at : at + BEATS], beats(zone), kept.first(), log)
+                    for zone, names in zones.items() for at in range(0, len(names), BEATS)]  # fmt: skip
+
+
+def _agents(fleet: "Fleet", kept: Kept, now: Callable[[], int], lasts: int) -> Agents:
+    fence = Fence(kept.state["tokens"])
+    return Agents([Agent(host.name, Watched(host), fence, lambda: kept.save(tokens=fence.state()), kept.first(),
+                         now(), REST, lasts, host.tell) for host in fleet.hosts.values()], now)  # fmt: skip
--- a/ironfall/lab/day.py
+++ b/ironfall/lab/day.py
@@ -26,11 +26,12 @@
 from pathlib import Path
 
 # Each trouble, and the words it takes after its name: h a host, z a zone, d a director, c a class, p a part, t a time,
-# x a number, f a file beside the day's, s all or a zone. Keepers are killed and stopped as directors are. `for TIME`
-# says how long it lasts; those without it are over at once. k is a keeper: deaf (nothing that is said to it comes),
-# mute (nothing that it says); spoil, twice and torn: a part of all that is said to and by keepers.
+# x a number, f a file beside the day's, s all or a zone. Keepers and observers are killed and stopped as directors are,
+# and observers are restarted too, by SIGTERM (r: a host or one of them). `for TIME`
+# says how long it lasts; those without it are over at once. k is a keeper or an observer: deaf (nothing that is said to
+# it comes), mute (nothing that it says); spoil, twice and torn: a part of all that is said to and by them.
 TROUBLES = {
-    "crash": "h", "restart": "h", "vanish": "h", "hang": "h", "drain": "h", "errors": "hp", "slow": "hx", "pause": "ht",
+    "crash": "h", "restart": "r", "vanish": "h", "hang": "h", "drain": "h", "errors": "hp", "slow": "hx", "pause": "ht",
     "classfail": "hc", "swap": "hh", "refuse": "h", "lose": "z", "cut": "z", "break": "p", "kill": "d", "stop": "d",
     "unlist": "h", "late": "t", "lie": "hx", "unread": "h", "work": "h", "halt": "s",
     "adopt": "f", "err": "f", "scribble": "fp", "deaf": "k", "mute": "k", "spoil": "p", "twice": "p", "torn": "p",
@@ -39,6 +40,7 @@
            "refuse", "unlist", "late", "lie", "unread", "work", "halt", "deaf", "mute", "spoil", "twice",
            "torn"}  # fmt: skip
 KEEPERS = tuple(f"k{n}" for n in range(1, 6))  # as a day's terms call theirs
+OBSERVERS = tuple(f"o{n}" for n in range(1, 17))
 
 
 class BadDay(Exception):
@@ -215,8 +217,9 @@
 def _check(day: Day) -> None:
     zones = {h.zone for h in day.hosts} | {z for _, z in day.proxies} | {z for _, z in day.directors}
     known = {"h": {h.name for h in day.hosts}, "z": zones, "s": zones | {"all"}, "c": set(day.classes),
-             "d": {*(n for n, _ in day.directors), *KEEPERS}, "k": set(KEEPERS)}  # fmt: skip
-    names = {"h": "host", "z": "zone", "d": "director", "c": "class", "s": "zone", "k": "keeper"}
+             "d": {*(n for n, _ in day.directors), *KEEPERS, *OBSERVERS}, "k": {*KEEPERS, *OBSERVERS},
+             "r": {*(h.name for h in day.hosts), *OBSERVERS}}  # fmt: skip
+    names = {"h": "host", "z": "zone", "d": "director", "c": "class", "s": "zone", "k": "keeper", "r": "host"}
     for trouble in day.troubles:
         line = _Line(day.file, trouble.line, list(trouble.words))
         for letter in TROUBLES[trouble.what]:
--- a/ironfall/lab/play.py
+++ b/ironfall/lab/play.py
@@ -25,10 +25,10 @@
 from ironfall.durable.disk import Disk, Folder
 from ironfall.files.notation import read_set
 from ironfall.keeper.client import Keepers
-from ironfall.lab.agents import Again, Kept, Ways, watch
+from ironfall.lab.agents import Again, Beating, Kept, Ways, watch, watch_observed
 from ironfall.lab.between import SPOILT, TORN, TWICE, Between, Faults
 from ironfall.lab.clients import rates
-from ironfall.lab.day import KEEPERS, Day, Trouble, beside, load, part_of, seconds_of
+from ironfall.lab.day import KEEPERS, OBSERVERS, Day, Trouble, beside, load, part_of, seconds_of
 from ironfall.lab.fleet_judge import Fleet as FleetFacts
 from ironfall.lab.fleet_judge import FleetJudge
 from ironfall.lab.hosts import Fleet
@@ -38,6 +38,7 @@
 from ironfall.lab.tape import SECOND, Tape, read
 from ironfall.lab.wires import Wire
 from ironfall.lab.works import Works
+from ironfall.observer.client import Heartbeats
 from ironfall.terms import Terms, read_terms
 
 COMES_UP = 20.0  # seconds that a process of the day may take to be there
@@ -97,7 +98,7 @@
 
 
 def beside_keepers(fleet: Fleet, listing: Registry, terms: Terms, disk: Disk, seed: int,
-                   agents: Terms | None = None) -> list[Again]:  # fmt: skip
+                   agents: Terms | None = None) -> list[Again | Beating]:  # fmt: skip
     """What stops the host's end of it again. `agents`: their own copy of the terms, where they have one."""
     chance, log, lease = random.Random(seed), structlog.get_logger(), terms.fleet.lease
 
@@ -108,10 +109,16 @@
     def wall(at: float) -> int:
         return int((time.time() - time.monotonic() + at) * SECOND)
 
+    def now() -> int:
+        return int(time.monotonic() * SECOND)
+
     listing.beside(keepers("registry"), keepers("registry"), Kept(disk, "registry"), wall, chance, log)
     # A keeper that tells marks may not have heard its leader for a while, half of a lease at the most.
-    _, jobs = watch(fleet, keepers, Kept(disk, "agents"), lambda: int(time.monotonic() * SECOND), lease // 2, chance,
-                    log)  # fmt: skip
+    if observers := (agents or terms).fleet.observers:
+        _, beating = watch_observed(fleet, lambda zone: Heartbeats(zone, observers, lease, chance),
+                                    Kept(disk, "agents"), now, lease // 2, log)  # fmt: skip
+        return [*listing.jobs, *beating]
+    _, jobs = watch(fleet, keepers, Kept(disk, "agents"), now, lease // 2, chance, log)
     return [*listing.jobs, *jobs]
 
 
@@ -170,11 +177,16 @@
             shutil.rmtree(old, ignore_errors=True)
         self.tape = Tape(folder / "operators.tape")
         self.works: Works | None = None
-        known = {name for name, _ in self.terms.fleet.keepers}
+        known = {name for name, _ in self._others()}
         for t in day.troubles:
             needs = t.what in ("work", "halt", "deaf", "mute", *BETWEEN)
-            if needs and not known or t.words and t.words[0] in set(KEEPERS) - known:
-                raise NotPlayed(f"{day.file}:{t.line}: {t.what} needs keepers that {day.terms} names")
+            if needs and not known or t.words and t.words[0] in {*KEEPERS, *OBSERVERS} - known:
+                raise NotPlayed(f"{day.file}:{t.line}: {t.what} needs keepers or observers that {day.terms} names")
+
+    def _others(self) -> list[tuple[str, tuple[str, int]]]:
+        """Keepers and observers, as all may find them."""
+        fleet = self.terms.fleet
+        return [*fleet.keepers, *((one.name, one.address) for one in fleet.observers)]
 
     def _start(self, name: str, *words: str) -> None:
         log = open(self.folder / f"{name}.log", "ab")
@@ -261,8 +273,8 @@
         keepers = self.terms.fleet.keepers
         if not keepers:
             return
-        text = self.terms_file.read_text()
-        for (_, address), port in zip(keepers, free_ports(self.ip, len(keepers)), strict=True):
+        text, others = self.terms_file.read_text(), self._others()
+        for (_, address), port in zip(others, free_ports(self.ip, len(others)), strict=True):
             text = text.replace(f'"{_text(address)}"', f'"{self.ip}:{port}"')
         self.terms_file = self.folder / "fleet.sexp"
         self.terms_file.write_text(text)
@@ -270,7 +282,9 @@
         self.beside = ["--kept", str(self.folder / "kept"), "--terms", self._own_terms("hosts")]
         for name, _ in self.terms.fleet.keepers:
             self._start_keeper(name)
-        for name, address in self.terms.fleet.keepers:
+        for one in self.terms.fleet.observers:
+            self._start_observer(one.name)
+        for name, address in self._others():
             self._there(name, address)
         fleet, log = self.terms.fleet, structlog.get_logger()
 
@@ -287,13 +301,20 @@
         if not self.terms.fleet.keepers:
             return str(self.terms_file)
         own = self.folder / f"fleet-{name}.sexp"
-        own.write_text(self.between.copy(self.terms_file.read_text(), name, self.terms.fleet.keepers))
+        own.write_text(self.between.copy(self.terms_file.read_text(), name, self._others()))
         return str(own)
 
     def _start_keeper(self, name: str) -> None:
         self._start(name, "--log", "json", "keeper", self._own_terms(name), "--name", name, "--disk",
                     str(self.folder / f"disk-{name}"), "--found")  # fmt: skip
 
+    def _start_observer(self, name: str) -> None:
+        self._start(name, "--log", "json", "observer", self._own_terms(name), "--name", name)
+
+    def _again(self, name: str) -> None:
+        starts = {KEEPERS: self._start_keeper, OBSERVERS: self._start_observer}
+        next((start for names, start in starts.items() if name in names), self._start_director)(name)
+
     def _start_director(self, name: str) -> None:
         zone = dict(self.day.directors)[name]
         self.starts_of[name] += 1
@@ -331,8 +352,12 @@
         if what == "kill":
             self._signal(words[0], signal.SIGKILL)
             self.running[words[0]].wait()
-            again = self._start_keeper if words[0] in KEEPERS else self._start_director
-            gevent.spawn_later(seconds, again, words[0])
+            gevent.spawn_later(seconds, self._again, words[0])
+        elif what == "restart" and words[0] in OBSERVERS:
+            self._signal(words[0], signal.SIGTERM)
+            if self.running[words[0]].wait(5):
+                raise NotPlayed(f"{words[0]} did not end with 0; see {self.folder}/{words[0]}.log")
+            self._again(words[0])
         elif what == "stop":
             self._signal(words[0], signal.SIGSTOP)
             gevent.spawn_later(seconds, self._signal, words[0], signal.SIGCONT)
--- /dev/null
+++ b/ironfall/observer/program.py
@@ -0,0 +1,202 @@
+"""The observer as a program: it hears a zone's members, and says each second what changed to the leader of the keepers.
+
+Its state is touched by calls that never wait, and so by one greenlet at a time: the answer to a message is made in one
+piece. All of it is soft: a new one knows nothing and says so.
+"""
+
+import json
+import random
+import secrets
+import signal
+import time
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent.event import Event
+
+from ironfall.api.http import Answer, Bounds, HttpServer, Refused, Request
+from ironfall.keeper.client import Keepers
+from ironfall.keeper.sums import SUM, answered, asked
+from ironfall.observers import Observer
+from ironfall.terms import Terms
+
+SECOND = 10_000
+MILLION = 1_000_000
+BODY = 8 * 2**20  # of a message of beats: 1,024 with their words
+OTHERS = 256  # connections beside those of members: operators, and members that come anew before the old one is known
+EVERY, PATIENCE = 1.0, 0.8  # seconds between reports, and for the answer of one: the next says what it did not bring
+MARKS_WAIT = 1.0  # seconds that keepers hold a poll of marks
+MARKS_AGAIN = 5.0  # the longest between two tries
+
+
+class Program:
+    """A running observer. `start()` returns once it listens; `wait()` until it was told to stop."""
+
+    def __init__(self, terms: Terms, name: str, log: Any, seed: int | None = None,
+                 monotonic: Callable[[], float] = time.monotonic,
+                 wall: Callable[[], float] = time.time) -> None:  # fmt: skip
+        """Raises `KeyError` where the terms name no such observer."""
+        fleet, limits = terms.fleet, terms.limits
+        own = {one.name: one for one in fleet.observers}[name]
+        self.log, self.monotonic = log, monotonic
+        self.chance = random.Random(secrets.randbits(63) if seed is None else seed)
+        self.observer = Observer(name, own.zone, int(wall() * MILLION), self.now(), fleet.lease,
+                                 round(fleet.drift * MILLION), fleet.rules(terms.service).near, own.room)  # fmt: skip
+        self.keepers = Keepers(fleet.keepers, f"observer {name}"[:100], self.chance, monotonic)
+        bounds = Bounds(own.room + OTHERS, BODY, limits.header_time / SECOND, limits.idle / SECOND,
+                        limits.write_time / SECOND)  # fmt: skip
+        self.server = HttpServer(own.address, bounds, self.handle)
+        self.counts = {"messages": 0, "beats": 0, "received": 0, "reports": 0, "reported": 0, "unheard": 0}
+        self.trouble, self.deaf, self.status = "", "", 0
+        self.doubts, self.index = False, -1
+        self.done = Event()
+        self.loops: list[gevent.Greenlet] = []
+
+    def now(self) -> int:
+        return int(self.monotonic() * SECOND)
+
+    # life
+
+    def start(self) -> None:
+        self.server.start()
+        self.loops = [gevent.spawn(loop) for loop in (self._report, self._mark)]
+        for loop in self.loops:
+            loop.link_exception(self._broken)
+        self.log.info("listening", port=self.server.port, zone=self.observer.zone, incarnation=self.observer.inc)
+
+    def wait(self) -> int:
+        """Until SIGTERM or SIGINT; 0, or 1 where another has its name or what must hold did not."""
+        for which in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(which, self.stop)
+        self.done.wait()
+        return self.status
+
+    def stop(self) -> None:
+        if self.done.is_set():
+            return
+        self.server.stop(0.2)
+        for loop in self.loops:
+            loop.kill(block=False)
+        self.keepers.close()
+        self.log.info("stopped", members=len(self.observer.members))
+        self.done.set()
+
+    def _broken(self, loop: gevent.Greenlet) -> None:
+        # Better no observer than one that answers members and tells nobody: they turn to the other.
+        self.log.error("broken", cause=repr(loop.exception))
+        self._fail()
+
+    def _fail(self) -> None:
+        self.status = 1
+        gevent.spawn(self.stop)
+
+    # members
+
+    def handle(self, request: Request) -> Answer:
+        routes = {("POST", "/v1/observe/beats"): self._beats, ("GET", "/v1/observe/look"): self._look}
+        try:
+            route = routes.get((request.method, request.path))
+            if route is None:
+                known = request.path in (path for _, path in routes)
+                raise Refused(405 if known else 404, f"no {request.method} {request.path} here")
+            return _answer(200, route(request))
+        except Refused as refused:
+            return _answer(refused.status, {"why": refused.reason})
+
+    def _beats(self, request: Request) -> Any:
+        if "sum" not in request.query:
+            raise Refused(400, "what members say has its sum with it")
+        if asked(request.path, request.body) != f"{request.path}?sum={request.query['sum']}":
+            raise Refused(408, "it was spoilt on its way: say it again")
+        self.counts["messages"] += 1
+        self.counts["received"] += len(request.body)
+        try:
+            message = json.loads(bytes(request.body))
+        except (ValueError, RecursionError) as wrong:
+            raise Refused(400, f"the body is no JSON: {wrong}") from None
+        try:
+            answer = self.observer.beats(self.now(), message)
+        except ValueError as wrong:
+            raise Refused(400, str(wrong)) from None
+        self.counts["beats"] += len(message["beats"])
+        return answer
+
+    def _look(self, request: Request) -> Any:
+        return self.observer.look(self.now()) | {"counts": self.counts, "connections": self.server.open,
+                                                 "trouble": self.trouble or self.deaf}  # fmt: skip
+
+    # the leader
+
+    def _report(self) -> None:
+        due = self.monotonic() + EVERY * self.chance.random()
+        while True:
+            gevent.sleep(max(0.0, due - self.monotonic()))
+            due = self.monotonic() + EVERY * (0.9 + 0.2 * self.chance.random())
+            report = self.observer.report(self.now())
+            self._doubts()
+            self.counts["reports"] += 1
+            heard = self.keepers.observed(report, PATIENCE)
+            if heard.why:
+                self.counts["unheard"] += 1
+                self._trouble(f"{heard.why}: {heard.text}")
+                continue
+            try:
+                self.observer.reported(self.now(), report, heard.told)
+            except ValueError as wrong:
+                self._trouble(f"no answer of a leader: {wrong}")
+                continue
+            if self.observer.superseded:
+                self.log.error("superseded", cause="another process reports under this name, and began later")
+                return self._fail()
+            why = str(heard.told.get("why", ""))
+            self.counts["reported"] += not why
+            # The first report to a leader echoes nothing of it, and counts for nothing: no trouble.
+            if not why or self.observer.stamp is None or report["stamp"] == list(self.observer.stamp):
+                self._trouble(why)
+
+    def _doubts(self) -> None:
+        doubts = self.observer.watching == self.observer.reported_at and bool(self.observer.members)
+        if doubts and not self.doubts:
+            self.log.warning("doubts itself", members=len(self.observer.members), cause="it stood still, hears late, "
+                             "has no room, or hears too few at once: it declares nobody absent")  # fmt: skip
+        elif self.doubts and not doubts:
+            self.log.info("trusts itself", members=len(self.observer.members))
+        self.doubts = doubts
+
+    def _trouble(self, cause: str) -> None:
+        if cause.partition(":")[0] != self.trouble.partition(":")[0]:
+            if cause:
+                self.log.warning("the leader does not hear this observer", cause=cause[:200])
+            else:
+                self.log.info("the leader hears this observer", members=len(self.observer.members))
+        self.trouble = cause[:200]
+
+    # marks
+
+    def _mark(self) -> None:
+        wait = MARKS_AGAIN / 16
+        while True:
+            began = self.now()
+            heard = self.keepers.marks(self.index, MARKS_WAIT)
+            try:
+                if heard.why:
+                    raise ValueError(f"{heard.why}: {heard.text}")
+                marks = [(str(unit), str(want), int(token)) for unit, want, token in heard.told["marks"]]
+                self.index = int(heard.told["index"])
+                self.observer.marked(began, marks)
+            except (ValueError, TypeError, KeyError) as wrong:
+                if not self.deaf:
+                    self.log.warning("no keeper tells marks", cause=str(wrong)[:200])
+                self.deaf = str(wrong)[:200]
+                gevent.sleep(wait * (0.5 + self.chance.random()))
+                wait = min(MARKS_AGAIN, 2 * wait)
+            else:
+                if self.deaf:
+                    self.log.info("keepers tell marks")
+                self.deaf, wait = "", MARKS_AGAIN / 16
+
+
+def _answer(status: int, told: Any) -> Answer:
+    body = json.dumps(told, separators=(",", ":")).encode() + b"\n"
+    return Answer(status, body, {"Content-Type": "application/json", SUM: answered(status, body)})
