Keep a new leader's beat while all observers tell it of everybody

A leader takes 16,384 differences a second and looks at directors spread over a lease; digests are bounded by bytes alone, directors first.

--- a/ironfall/observers/collector.py
+++ b/ironfall/observers/collector.py
@@ -12,7 +12,8 @@
 from ironfall.permits.terms import MILLION, SECOND
 
 ENTRIES = 4  # digests a second
-BYTES = 256 * 2**10  # of one
+BYTES = 128 * 2**10  # of one, but for what zones are vouched for
+LINES = 16_384  # differences taken in a second: a new leader is told of everybody at once, and has its own beat to keep
 DRAINS = "draining", "empty"
 
 
@@ -70,10 +71,11 @@
         self.over: dict[str, int] = {}  # incarnations of directors that the ledger holds for gone, and yet are heard
         self.checks: list[tuple[int, str]] = []  # when which director may be absent
         self.checked: set[str] = set()
+        self.lines = 0  # taken since the last digests
         self.wanted: set[str] = set()
         self.voices: set[str] = set()  # hosts that directors without a lease called silent
         self.voices_at = -1
-        self._look_for(ledger.observed)
+        self._look_for(now)
 
     # reports
 
@@ -142,7 +144,8 @@
             seat.sure = seat.proven
         if said["stamp"][1] == seat.drops[0]:
             self._dropped(name, seat, seat.drops[1])  # it had the answer that told of them
-        told = said["after"] <= seat.have
+        told = said["after"] <= seat.have and (not said["members"] or self.lines < LINES)  # else it is said again
+        self.lines += len(said["members"]) if told else 0
         seat.whole = told and said["upto"] >= said["version"]
         if not seat.whole:
             # Whom a floor speaks of is known only with all differences: what the last one said is written down.
@@ -301,7 +304,8 @@
             self.listed = self.ledger.listed
             self.dirty.update(dict.fromkeys(sorted(self.unlisted)))
             self.unlisted.clear()
-        self._look_for(self.ledger.observed)
+        self.lines = 0
+        self._look_for(now)
         self._lapse(now, parts)
         self._want()
         left = self._differences(now, parts)
@@ -310,12 +314,12 @@
             vouched = self._vouches(now, left)
         yield from parts.entries(vouched)
 
-    def _look_for(self, names: Mapping[str, str]) -> None:
-        """Each director behind observers is looked at when it may be absent: at rest once a lease."""
-        if len(self.checked) < len(names) or not names.keys() <= self.checked:
-            for name in names.keys() - self.checked:
-                self.checked.add(name)
-                heapq.heappush(self.checks, (self.began + self._least(), name))
+    def _look_for(self, now: int) -> None:
+        """Each director behind observers is looked at when it may be absent: at rest once a lease, not all at once."""
+        if fresh := sorted(self.ledger.observed.keys() - self.checked):
+            self.checked.update(fresh)
+            for n, name in enumerate(fresh):
+                heapq.heappush(self.checks, (now + self._least() * n // len(fresh), name))
 
     def _lapse(self, now: int, parts: "_Parts") -> None:
         while self.checks and self.checks[0][0] <= now and not parts.full:
@@ -351,7 +355,8 @@
         """What the log lacks; and of whom something is left to be told."""
         left: set[str] = set()
         drains = {unit for unit, permit in self.ledger.permits.items() if permit.state in DRAINS}
-        for unit in [u for u in self.dirty if u in drains] + [u for u in self.dirty if u not in drains]:
+        # Whose doubt matters most: directors, hosts that drain, the others.
+        for unit in sorted(self.dirty, key=lambda unit: 0 if unit.startswith("director/") else 2 - (unit in drains)):
             if parts.full:
                 left.add(unit)
                 continue
@@ -459,26 +464,26 @@
     def __init__(self, made: int) -> None:
         self.made, self.done = made, list[dict[str, Any]]()
         self.held: dict[str, dict[str, Any]] = {}
-        self.size = self.count = 0
+        self.size = 0
 
     @property
     def full(self) -> bool:
-        return len(self.done) >= ENTRIES - 1 and (self.size > BYTES // 2 or self.count >= PART)
+        return len(self.done) >= ENTRIES - 1 and self.size > BYTES - 4_096
 
     def put(self, rows: dict[str, dict[str, Any]]) -> None:
         """Rows that go together: never in two entries."""
         if not rows:
             return
         size = len(json.dumps(rows))
-        if self.held and (self.size + size > BYTES // 2 or self.count >= PART) and len(self.done) < ENTRIES - 1:
+        if self.held and self.size + size > BYTES and len(self.done) < ENTRIES - 1:
             self._close()
         for part, held in rows.items():
             self.held.setdefault(part, {}).update(held)
-        self.size, self.count = self.size + size, self.count + 1
+        self.size += size
 
     def _close(self) -> None:
         self.done.append({"k": "digest", "made": self.made} | self.held)
-        self.held, self.size, self.count = {}, 0, 0
+        self.held, self.size = {}, 0
 
     def entries(self, vouched: dict[str, Any]) -> list[dict[str, Any]]:
         """With what is vouched for in the last: all that it rests on is in the log then."""
