--- a/deploy/terms/observed.sexp
+++ b/deploy/terms/observed.sexp
@@ -25,4 +25,4 @@
     (budget zone (share 20%))
     (budget directors (number 1))
     (margin 20%)
-    (halt (unplanned 10%) (pause 60s))))
+    (halt (unplanned 10%) (pause 10s))))
--- a/ironfall/observer/client.py
+++ b/ironfall/observer/client.py
@@ -54,7 +54,7 @@
         there is none; the homing knows then."""
         now = self.now()
         message = self.homing.message(now, units, quiet, first)
-        name = self.homing.home
+        name = self.homing.target
         body = json.dumps(message, separators=(",", ":")).encode()
         self.sent += len(body)
         try:
