--- /dev/null
+++ b/benchmarks/scale/_observed.py
@@ -0,0 +1,257 @@
+"""Hollow members that beat at observers as processes of the program, beside three keepers, over loopback.
+
+    python -m benchmarks.scale._observed TERMS FIRST COUNT SEED TOGETHER
+
+The edge is real: `Heartbeats` with its homing, HTTP and sums. Of eight members one is a director and seven are hosts,
+as 12,000 are to 93,000; a message has the beats of TOGETHER members. Such a process says `ready`, begins at `go`,
+answers `tell` with a line of JSON, comes anew at `anew` (every member under a new incarnation, all it knew
+forgotten), lets its directors call one host more silent at each `silent`, and ends when nobody writes to it any more.
+"""
+
+import json
+import os
+import random
+import resource
+import subprocess
+import sys
+import time
+import urllib.request
+from pathlib import Path
+
+import gevent
+from gevent.fileobject import FileObject
+
+from benchmarks.keepers import hosts
+from ironfall.lab import history
+from ironfall.observer.client import Heartbeats, Unheard
+from ironfall.terms import read_terms
+from tests.keepers import ROOT, until
+from tests.observed import Observed
+
+DIRECTORS = 8  # one of so many members
+SHARED = 1_000  # hollow members of a process
+STEP = os.sysconf("SC_CLK_TCK")
+WORD = {"proxies": 8, "binding": 0, "waiting": 0, "bare": 0, "refused": 0, "fulfilled": 1_000_000, "near": 0,
+        "leaving": False, "token": 0, "drained": {}, "silent": [], "took": {}, "version": "1"}  # fmt: skip
+
+
+def unit_of(n):
+    return f"director/d{n}" if n % DIRECTORS == 0 else f"host/h{n}"
+
+
+class Members:
+    """Those of one message."""
+
+    def __init__(self, terms, numbers, chance, counts):
+        self.terms, self.chance, self.counts = terms, chance, counts
+        self.zone = terms.zones[numbers[0] // DIRECTORS % len(terms.zones)]
+        self.units = {unit_of(n): dict(WORD) if n % DIRECTORS == 0 else {"up": True, "token": 0} for n in numbers}
+        self.inc, self.heard_at = 1, 0.0
+        self.begin()
+
+    def begin(self):
+        fleet = self.terms.fleet
+        self.heard_at = 0.0
+        self.beats = Heartbeats(self.zone, fleet.observers, fleet.lease, self.chance, time.monotonic, self.moved)
+        self.job = gevent.spawn(self.run)
+
+    def moved(self, _to):
+        self.counts["moves"] += 1
+
+    def anew(self):
+        self.job.kill()
+        self.beats.close()
+        self.inc += 1
+        self.begin()
+
+    def run(self):
+        while True:
+            gevent.sleep(self.beats.wait())
+            try:
+                said = self.beats.say({unit: (self.inc, word) for unit, word in self.units.items()})
+                self.counts["answered"] += 1
+                self.counts["whole"] += len(said["whole"])
+                if not said["whole"] and not self.heard_at:
+                    self.heard_at = time.monotonic()
+            except Unheard:
+                self.counts["unheard"] += 1
+
+
+def serve(path, first, count, seed, together):
+    terms, counts = read_terms(path, Path(path).read_text()), dict.fromkeys(
+        ("answered", "whole", "unheard", "moves"), 0)  # fmt: skip
+    members, said = [], FileObject(sys.stdin.buffer, "rb")
+    print("ready", flush=True)
+    while line := said.readline().strip():
+        if line == b"go":
+            for at in range(int(first), int(first) + int(count), int(together)):
+                numbers = range(at, min(at + int(together), int(first) + int(count)))
+                members.append(Members(terms, numbers, random.Random(int(seed) + at), counts))
+        elif line == b"anew":
+            for one in members:
+                one.anew()
+        elif line == b"silent":
+            for one in members:
+                for unit, word in one.units.items():
+                    if unit.startswith("director/"):
+                        one.units[unit] = word | {"silent": [f"h{n}" for n in range(1, len(word["silent"]) + 2)]}
+        else:
+            use = resource.getrusage(resource.RUSAGE_SELF)
+            print(json.dumps({
+                "cpu": use.ru_utime + use.ru_stime, "at": time.monotonic(), "counts": counts,
+                "sent": sum(one.beats.sent for one in members), "received": sum(one.beats.received for one in members),
+                "heard": [one.heard_at for one in members],
+            }), flush=True)  # fmt: skip
+
+
+class Hollow:
+    """Processes of such members, and what they tell; ended with the block."""
+
+    def __init__(self, terms, count, seed, together=1):
+        command = [sys.executable, "-m", "benchmarks.scale._observed", str(terms)]
+        parts = [map(str, (first, min(SHARED, count - first), seed, together)) for first in range(0, count, SHARED)]
+        self.processes = [subprocess.Popen([*command, *part], cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+                          for part in parts]  # fmt: skip
+
+    def __enter__(self):
+        for one in self.processes:
+            if one.stdout.readline().strip() != b"ready":
+                self.__exit__()
+                raise OSError("a hollow process did not come up")
+        return self
+
+    def __exit__(self, *_):
+        for one in self.processes:
+            one.stdin.close()
+        for one in self.processes:
+            try:
+                one.wait(5.0)
+            except subprocess.TimeoutExpired:
+                one.kill()
+                one.wait()
+            one.stdout.close()
+
+    def say(self, what):
+        for one in self.processes:
+            one.stdin.write(what + b"\n")
+            one.stdin.flush()
+
+    def told(self):
+        self.say(b"tell")
+        return [json.loads(one.stdout.readline()) for one in self.processes]
+
+
+class Beside(Observed):
+    """Keepers and observers without relays: what is measured is theirs."""
+
+    def terms_of(self, _name):
+        return self.file
+
+    def listed(self, size):
+        """The hosts of so many members, as the registry tells them, some at a time."""
+        every, client = hosts(size), self.asker("registry")
+        names = [f"h{n}" for n in range(size) if n % DIRECTORS]
+        for at in range(0, len(names), 2_000):
+            part = {name: every[name] for name in names[at : at + 2_000]}
+            heard = client.ask({"k": "list", "v": 1 + at // 2_000, "hosts": part}, 10.0)
+            assert heard.done, heard
+
+    def all_known(self, size, least=0):
+        """Whether the log has every director, of an incarnation over `least`, and the leader every member."""
+        told = self.standing()
+        directors = told.get("ledger", {}).get("directors", {}).values()
+        shown = told.get("observed", {"observers": {}}).get("observers", {})
+        return (sum(one[0] and one[1] > least for one in directors) == -(-size // DIRECTORS)
+                and not told["observed"].get("unknown", [""])
+                and sum(one["members"] for one in shown.values()) >= size
+                and all(one["whole"] for one in shown.values()))  # fmt: skip
+
+
+def used(process):
+    """Seconds of processor time that a process took so far."""
+    fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / STEP
+
+
+def resident_mb(process):
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    return int(status.partition("VmRSS:")[2].split()[0]) / 1024
+
+
+def counts_of(group):
+    """What all observers count, together."""
+    found = {}
+    for _, (host, port) in group.observers:
+        with urllib.request.urlopen(f"http://{host}:{port}/v1/observe/look", timeout=5.0) as answer:
+            for name, value in json.loads(answer.read())["counts"].items():
+                found[name] = found.get(name, 0) + value
+    return found
+
+
+def entries(group):
+    return until(lambda: max(group.here(name).get("index", 0) for name in group.names))
+
+
+def kinds(group, name, after, upto):
+    """Entries of each kind of the ledger's in a part of the log, and their bytes, by a keeper's disk; it is killed."""
+    group.kill(name)
+    found = {}
+    for index, entry in enumerate(history.agreed({name: group.disk(name)}), 1):
+        if after < index <= upto and entry.kind == "ask":
+            body = entry.data.partition(b"\n")[2]
+            kind = found.setdefault(json.loads(body)["k"], [0, 0])
+            kind[0], kind[1] = kind[0] + 1, kind[1] + len(body)
+    return found
+
+
+def calm(size, chance, folder, together, seconds, settle=12.0):
+    """Figures of one second at rest: all are known, nothing changes, and every lease was told once."""
+    with (Beside(folder, lease="10s") as group,
+          Hollow(group.file, size, chance.getrandbits(20), together) as hollow):  # fmt: skip
+        group.listed(size)
+        hollow.say(b"go")
+        until(lambda: group.all_known(size), 120)
+        gevent.sleep(settle)
+        leader = group.leader()
+        watches = [group.processes[name] for name in group.zones]
+        keeps = [group.processes[name] for name in group.names]
+
+        def now():
+            return {
+                "at": time.monotonic(), "entries": entries(group), "counts": counts_of(group), "hollow": hollow.told(),
+                "observers": sum(map(used, watches)), "leader": used(group.processes[leader]),
+                "keepers": sum(map(used, keeps)),
+            }  # fmt: skip
+
+        first = now()
+        gevent.sleep(seconds)
+        last = now()
+        assert group.leader() == leader and group.all_known(size), "a reign that ended is no rest"
+        memory = max(map(resident_mb, watches)), resident_mb(group.processes[leader])
+        home = max(group.observer(name)["members"] for name in group.zones)
+        said = kinds(group, leader, first["entries"], last["entries"])
+    length = last["at"] - first["at"]
+
+    def each(what, within="counts"):
+        return (last[within][what] - first[within][what]) / length
+
+    def hollowed(what, within=None):
+        pairs = zip(first["hollow"], last["hollow"], strict=True)
+        return sum((b[within][what] - a[within][what]) if within else b[what] - a[what] for a, b in pairs) / length
+
+    beats = each("beats")
+    return {
+        "entries_s": (last["entries"] - first["entries"]) / length, "beats_s": beats,
+        "not_ticks": float(sum(count for kind, (count, _) in said.items() if kind != "tick")),
+        "observer_cpu_ms_s": 1e3 * (last["observers"] - first["observers"]) / length,
+        "observer_us_a_beat": 1e6 * (last["observers"] - first["observers"]) / length / beats,
+        "leader_cpu_ms_s": 1e3 * (last["leader"] - first["leader"]) / length,
+        "keepers_cpu_ms_s": 1e3 * (last["keepers"] - first["keepers"]) / length,
+        "member_cpu_us_s": 1e6 * hollowed("cpu") / size, "member_bytes_out_s": hollowed("sent") / size,
+        "member_bytes_in_s": hollowed("received") / size, "unheard_s": hollowed("unheard", "counts"),
+        "observer_mb": memory[0], "leader_mb": memory[1], "largest_home": float(home),
+    }  # fmt: skip
+
+
+if __name__ == "__main__":
+    serve(*sys.argv[1:])
--- a/ironfall/lab/transcript.py
+++ b/ironfall/lab/transcript.py
@@ -3,7 +3,8 @@
 `heard` is told each message that a relay lets pass or loses; `part` begins the next heading. In a part come what
 clients ask; votes; entries of the log, each with who was offered it and who has it; what clients are answered. Within
 these the order is that of the log, and what comes at once goes by name. Logs of the keepers stand at the end, each in
-its order.
+its order. Of observers: beats with a word, reports with differences that were taken, and digests with what is in them,
+without ages and numbers of beats; a zone's observers are told as one, for a member's home is drawn.
 
 Left out, for their number is that of the clock: beats, ticks, clocks, leases held, looks, early votes, votes that made
 no leader, polls that tell nothing new, and each try of an ask between its first and the one that was answered. What is
@@ -117,6 +118,8 @@
         self.led: dict[int, str] = {}
         self.asked: dict[tuple[str, int], tuple[str, str] | None] = {}  # by asker and number, a try said again
         self.marks: dict[str, Any] = {}
+        self.homes: dict[str, str] = {}  # of observers, their zones
+        self.observed: set[tuple[int, str, str]] = set()
         self.taken: dict[str, int] = {}
         self.met: dict[str, str] = {}  # identities as they were heard of, by name the newest
         self.order: list[str] = []
@@ -156,6 +159,8 @@
         question = message.to or message
         if question.path in ("/v1/fleet/entries", "/v1/fleet/members", "/v1/fleet/marks"):
             self._clients(message, question, lost)
+        elif question.path in ("/v1/observe/beats", "/v1/fleet/observed") and message.to and message.status == 200:
+            self._observed(message, question)
 
     def _row(self, part: int, *place: Any, told: tuple[Any, ...]) -> None:
         self.rows.setdefault((part, *place), told)
@@ -188,7 +193,7 @@
         now, place, told = len(self.parts) - 1, len(self.rows), question.plain
         if question.path == "/v1/fleet/marks":
             marks = m.plain.get("marks") if m.to and m.status == 200 else None
-            if marks is not None and marks != self.marks.get(question.source):
+            if marks is not None and marks != self.marks.get(question.source, []):
                 self.marks[question.source] = marks
                 self._row(now, 0, place, told=("tells marks", m.source, m.sink, marks))
             return
@@ -206,6 +211,23 @@
                 self._row(now, 0, place, told=(what + " again", *again, told.get("entry", told), ""))
             self._row(now, 3, place, told=(f"answers {m.status}", m.source, m.sink, m.plain, lost))
 
+    def _observed(self, m: Message, question: Message) -> None:
+        """What counted of beats and reports, once in a part."""
+        now, said, answer = len(self.parts) - 1, question.plain, m.plain
+        if "beats" in said:
+            self.homes[m.source] = next(iter(said["beats"].values()))["zone"]
+            whole = {*answer["whole"], *answer["full"], *answer["refused"], *answer["over"]}
+            told = {u: one["word"] for u, one in said["beats"].items() if one.get("word") and u not in whole}
+            what = "beats"
+        else:
+            self.homes[m.sink] = said["zone"]
+            told = {} if "why" in answer else {u: _of_report(one) for u, one in said["members"].items()}
+            what = "reports"
+        ends = [f"observer of {self.homes[one]}" if one in self.homes else one for one in (m.sink, m.source)]
+        if told and (now, what, _json(told)) not in self.observed:
+            self.observed.add((now, what, _json(told)))
+            self._row(now, 0, len(self.rows), told=(what, *ends, told, ""))
+
     # as text
 
     def text(self, order: Sequence[str], logs: Mapping[str, list[dict[str, Any]]]) -> str:
@@ -240,6 +262,7 @@
             entry = self.entries[about]
             kind = entry.own.get("k", entry.kind)
             members = f" {_json(scrub.plain(entry.own['members']))}" if kind == "members" and what == "offers" else ""
+            members += f" {_json(scrub.plain(_of_digest(entry.own)))}" if kind == "digest" and what == "offers" else ""
             return [f"{ends}: {what} {scrub.place(about)} {kind}{members}{lost[0]}"]
         return [f"{ends}: {what} {_json(scrub.plain(about))}{lost[0] if lost else ''}"]
 
@@ -248,5 +271,22 @@
     return tuple(scrub.name(p) if isinstance(p, str) else p for p in place[1:])
 
 
+def _of_report(one: list[Any]) -> dict[str, Any]:
+    incarnation, _, _, word, gone = one
+    return {"inc": incarnation, "word": word, "gone": gone}
+
+
+def _of_digest(own: dict[str, Any]) -> dict[str, Any]:
+    """Without what differs from run to run."""
+    told = {part: held for part, held in own.items() if part not in ("k", "at", "made")}
+    if "directors" in told:
+        told["directors"] = {d: {x: v for x, v in w.items() if x != "n"} for d, w in told["directors"].items()}
+    if "hosts" in told:
+        told["hosts"] = {h: [inc, up, token] for h, (inc, _, up, _, token, _) in told["hosts"].items()}
+    if "lapsed" in told:
+        told["lapsed"] = {d: inc for d, (inc, _) in told["lapsed"].items()}
+    return told
+
+
 def _json(value: Any) -> str:
     return json.dumps(value, ensure_ascii=False)
--- a/tests/observed.py
+++ b/tests/observed.py
@@ -1,6 +1,7 @@
 """Keepers, observers and members as processes on loopback, with a relay between any two that speak."""
 
 import json
+import os
 import subprocess
 import sys
 import urllib.request
@@ -13,12 +14,12 @@
 from ironfall.lab.day import read_day
 from ironfall.lab.fleet_judge import FleetJudge
 from ironfall.lab.hosts import Fleet as HostFleet
-from ironfall.lab.play import beside_keepers, fleet_of
+from ironfall.lab.play import beside_keepers, fleet_of, free_ports
 from ironfall.lab.registry import Registry
 from ironfall.lab.tape import Tape, read
 from ironfall.publication import Holding
 from ironfall.terms import read_terms
-from tests.keepers import ROOT, Faulted, free_ports
+from tests.keepers import ROOT, Faulted
 from tests.rig import Peer
 from tests.test_fleet_members import DAY
 
@@ -32,8 +33,10 @@
     def __init__(self, folder, count=3, lease="6s", empty="1s", names=tuple(ZONES), **about):
         self.zones = {name: ZONES[name] for name in names}
         super().__init__(folder, count, lease=lease, empty=empty, **about)
-        ports = free_ports(len(names))
-        lines = "".join(f'\n    (observer "{name}" "127.0.0.1:{port}" (zone "{zone}"))'
+        # At an address of this process's own: a relay begun meanwhile could be given a port that was free.
+        ip = f"127.{1 + os.getpid() % 254}.0.2"
+        ports = free_ports(ip, len(names))
+        lines = "".join(f'\n    (observer "{name}" "{ip}:{port}" (zone "{zone}"))'
                         for (name, zone), port in zip(self.zones.items(), ports, strict=True))  # fmt: skip
         self.file.write_text(self.file.read_text().replace("\n    (budget", lines + "\n    (budget", 1))
         self.terms = read_terms(str(self.file), self.file.read_text())
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -29,6 +29,7 @@
 from ironfall.lab.tape import Tape, read
 from ironfall.lab.works import Works
 from ironfall.permits import Fence, FleetTerms
+from ironfall.permits.terms import ObserverTerms
 from ironfall.publication import Holding, Publication
 from ironfall.terms import read_terms
 from tests.disks import Disk as FakeDisk
@@ -215,13 +216,17 @@
         sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
 
 
+@pytest.mark.parametrize("who", ["keepers", "observers"])
 @pytest.mark.parametrize("how", [mute, nonsense])
-def test_turns_and_polls_go_on_with_keepers_that_are_mute_or_talk_nonsense(how, monkeypatch):
+def test_turns_and_polls_go_on_with_keepers_or_observers_that_are_mute_or_talk_nonsense(how, who, monkeypatch):
     monkeypatch.setattr(member, "EVERY", 0.2)
     came = []
     keeper = StreamServer(("127.0.0.1", 0), lambda sock, address: came.append(address) or how(sock, address))
     keeper.start()
-    fleet = FleetTerms(keepers=(("k1", ("127.0.0.1", keeper.server_port)),), lease=4 * SECOND)
+    address = "127.0.0.1", keeper.server_port
+    fleet = FleetTerms(keepers=(("k1", address),), lease=4 * SECOND)
+    if who == "observers":
+        fleet = replace(fleet, observers=tuple(ObserverTerms(name, address, "east") for name in ("o1", "o2")))
     with Rig(fleet=fleet) as rig:
         peer, holding = bound(rig)
         until(lambda: came)
--- a/tests/test_observer.py
+++ b/tests/test_observer.py
@@ -3,18 +3,32 @@
 import contextlib
 import json
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 
 import gevent
 import pytest
 
-from ironfall.api.http import HttpClient
+from ironfall.api.http import Answer, HttpClient
 from ironfall.director.member import Way
+from ironfall.keeper.sums import answered, asked
 from ironfall.lab.between import SPOILT, TORN, TWICE, VANISHES, Fate, asks
 from ironfall.lab.relayed import Holder
 from ironfall.lab.works import Works
-from tests.keepers import until
+from ironfall.observer.client import Heartbeats
+from ironfall.observer.program import Program
+from ironfall.permits.terms import ObserverTerms
+from ironfall.terms import read_terms
+from tests.disks import Disk as FakeDisk
+from tests.keepers import ROOT, until
 from tests.observed import SECOND, ZONES, Members, Observed
+from tests.test_fleet_members import agent_of
+
+
+class Quiet:
+    def info(self, *_, **about): ...
+
+    warning = error = info
 
 
 @contextlib.contextmanager
@@ -63,6 +77,60 @@
     return lambda m: m.path == "/v1/fleet/observed" and source in ("", m.source)
 
 
+TERMS = read_terms("observed.sexp", (ROOT / "deploy" / "terms" / "observed.sexp").read_text())
+
+
+def test_what_an_observer_can_not_take_is_answered_with_its_place():
+    own = (ObserverTerms("o1", ("127.0.0.1", 0), "east", 1_024), *TERMS.fleet.observers[1:])
+    program = Program(replace(TERMS, fleet=replace(TERMS.fleet, observers=own)), "o1", Quiet(), 1)
+    program.server.start()  # and no loops: nobody is reported to
+    client, path = HttpClient(("127.0.0.1", program.server.port)), "/v1/observe/beats"
+
+    def said(body, to=None, method="POST"):
+        answer = client.call(method, to or asked(path, body), 2.0, body)
+        told = json.loads(answer.body)
+        return answer.status, told.get("why", told)
+
+    def beats(units, stamp=None, **more):
+        one = {"inc": 1, "n": 1, "changed": 1, "zone": "east", "quiet": 0} | more
+        return json.dumps({"beats": dict.fromkeys(units, one), "stamp": stamp, "since": 0}).encode()
+
+    assert said(b"{}", path)[0] == 400 and said(b"{}", path + "?sum=1")[0] == 408
+    assert said(b"{")[0] == 400 and said(b"{}", "/v1/other")[0] == 404 and said(b"", path, "GET")[0] == 405
+    assert said(beats(["proxy/p1"])) == (400, "proxy/p1 is neither host/NAME nor director/NAME")
+    status, why = said(beats(["host/h1"], word={"up": 1, "token": 0}))
+    assert status == 400 and why.startswith("beats.host/h1")
+    assert said(beats([f"host/h{n}" for n in range(1_025)])) == (400, "beats are 1024 at most in a message")
+    stamp, word = said(beats([]))[1]["stamp"], {"up": True, "token": 0}
+    assert said(beats([f"host/h{n}" for n in range(1_024)], stamp, word=word))[1]["full"] == []
+    assert said(beats(["host/h2000", "host/h1"], stamp, word=word, n=2))[1]["full"] == ["host/h2000"]
+    assert said(b"", "/v1/observe/look", "GET")[1]["members"] == 1_024
+    program.stop()
+
+
+def test_marks_are_as_old_as_when_they_were_asked_for_and_older_ones_count_for_nothing():
+    now = [100.0]
+    way = Heartbeats("east", TERMS.fleet.observers, 6 * SECOND, random.Random(1), lambda: now[0])
+    answer = {"stamp": [1, 1], "whole": [], "full": [], "refused": {}, "over": {}, "upstream": 0, "spread": 1}
+
+    def said(want, age):
+        def call(*_):
+            now[0] += 1.0  # on its way
+            body = json.dumps(answer | {"marks": {"host/h0": [want, 7]}, "marked": age}).encode()
+            return Answer(200, body, {"x-sum": answered(200, body)})
+
+        way.clients = dict.fromkeys(way.clients, SimpleNamespace(call=call, close=lambda: None))
+        way.say({"host/h0": (1, {"up": True, "token": 0})})
+        return way.marks, way.marked_at
+
+    assert said("stopped", SECOND) == ([("host/h0", "stopped", 7)], 99 * SECOND)
+    assert said("ready", SECOND) == ([("host/h0", "ready", 7)], 100 * SECOND)
+    assert said("stopped", 4 * SECOND) == ([("host/h0", "ready", 7)], 100 * SECOND), "another observer's, from before"
+    agent = agent_of(FakeDisk(), now=100 * SECOND)
+    assert agent.ordered(105 * SECOND, "stopped", 7, 99 * SECOND) and agent.process.up, "half of a lease ago"
+    assert agent.ordered(105 * SECOND, "stopped", 7, 103 * SECOND) and not agent.process.up
+
+
 def test_a_host_goes_out_and_comes_back_though_an_observer_is_killed_as_it_drains(tmp_path):
     with fleet(tmp_path) as (group, it, _, works):
         host, killed = it.lab.hosts["h03"], []
--- a/tests/test_transcripts.py
+++ b/tests/test_transcripts.py
@@ -1,15 +1,24 @@
 """Whole exchanges among processes, held against text that a person has read and approved: docs/fleet.md says how."""
 
+import contextlib
+import random
 import shutil
 from pathlib import Path
 
+import gevent
 from syrupy.extensions.single_file import SingleFileSnapshotExtension, WriteMode
 
 from ironfall.lab.between import VANISHES, takes
+from ironfall.lab.relayed import Holder
 from ironfall.lab.transcript import Transcript
+from ironfall.observer.client import Heartbeats, Unheard
+from ironfall.terms import read_terms
 from tests.keepers import Faulted, until
+from tests.observed import Observed
 from tests.test_fleet_faults import HOSTS
 
+WORD = {"proxies": 4, "binding": 0, "waiting": 0, "bare": 0, "refused": 0, "fulfilled": 1_000_000, "near": 0,
+        "leaving": False, "token": 0, "drained": {}, "silent": [], "took": {}, "version": "1"}  # fmt: skip
 TRIES = 3  # an election that nobody made is another exchange: it is played again
 
 
@@ -46,9 +55,9 @@
         return self.transcript.text([self.first, *self.others], self.logs.since())
 
 
-def played(folder, play, reigns):
+def played(folder, play, reigns, exchange=Exchange):
     for attempt in range(TRIES):
-        with Exchange(folder / str(attempt)) as it:
+        with exchange(folder / str(attempt)) as it:
             it.begin()
             try:
                 text = play(it)
@@ -149,6 +158,67 @@
     return it.text()
 
 
+class Zone(Exchange, Observed):
+    """One zone with observers, and a member process there: a director and a host."""
+
+    def __init__(self, folder):
+        self.transcript, self.loops = Transcript(), []
+        Observed.__init__(self, folder, tell=self.transcript.heard, lease="8s", names=("o3", "o4"))
+
+    def begin(self):
+        west = {f"h{n}": HOSTS["h1"] | {"zone": "west"} for n in range(1, 16)}
+        self.holder = self.relayed.holder(self.keepers, HOSTS | west)
+        self.first = self.leader()
+        self.logs.begin()
+        self.others = [name for name in self.names if name != self.first]
+        terms = read_terms("d2", self.terms_of("d2").read_text())
+        beats, units = Heartbeats("west", terms.fleet.observers, terms.fleet.lease, random.Random(1)), {
+            "director/d2": (1, WORD), "host/h1": (1, {"up": True, "token": 0})}  # fmt: skip
+
+        holds = Holder(self.client("holds"), "s", 1, 0)  # it keeps the lease of what asks
+
+        def hold():
+            while True:
+                holds.do("hold", 2.0)
+                gevent.sleep(2.0)
+
+        def run():
+            while True:
+                gevent.sleep(beats.wait())
+                with contextlib.suppress(Unheard):
+                    beats.say(units)
+
+        self.transcript.part("a director and a host come up in the west")
+        self.loops = [gevent.spawn(run), gevent.spawn(hold)]
+
+    def __exit__(self, *about):
+        gevent.killall(self.loops)
+        super().__exit__(*about)
+
+
+def a_zone_lost_and_back(it):
+    told, operator = it.transcript, it.client("operator", it.first)
+    until(lambda: "d2" in it.ledger()["directors"])
+    it.settle()
+    told.part("both observers of the west are killed")
+    for name in it.zones:
+        it.kill(name)
+    until(lambda: it.zone("west")[2])
+    told.part("holder asks for h1")
+    assert it.holder.ask().done
+    told.part("operator halts the west, and lifts it")
+    for kind, about in (("halt", {"reason": "a look"}), ("lift", {})):
+        assert operator.ask({"k": kind, "scope": "zone west", "by": "operator", **about}, 10.0).done
+    it.settle()
+    assert it.ledger()["directors"]["d2"][0], "nobody there is taken for gone"
+    told.part("one of them is started again")
+    it.watch("o4")
+    until(lambda: not it.zone("west")[2], 40)
+    until(lambda: "host/h1" in it.ledger()["permits"])
+    it.settle()
+    return it.text()
+
+
 def test_a_leader_killed_in_the_middle_of_a_grant(tmp_path, snapshot):
     assert played(tmp_path, killed_in_a_grant, 2) == snapshot(extension_class=Text)
 
@@ -159,3 +229,7 @@
 
 def test_a_keeper_with_a_lost_disk_is_a_stranger_until_it_is_taken_in(tmp_path, snapshot):
     assert played(tmp_path, taken_in_as_a_stranger, 1) == snapshot(extension_class=Text)
+
+
+def test_a_zone_lost_with_its_observers_and_back(tmp_path, snapshot):
+    assert played(tmp_path, a_zone_lost_and_back, 1, Zone) == snapshot(extension_class=Text)
