--- a/ironfall/lab/observers_sim.py
+++ b/ironfall/lab/observers_sim.py
@@ -5,7 +5,7 @@
 restart and go from one observer to the other; a zone is apart for long. Then all heals, and the ledger must know what
 is true.
 
-    python -m ironfall.lab.observers_sim [SEEDS [FIRST]]
+    python -m ironfall.lab.observers_sim [SEEDS [FIRST [SECONDS]]]     # SECONDS of faults in each
 """
 
 import heapq
@@ -90,14 +90,15 @@
 
 class Sim:
     def __init__(self, seed: int, observer: type[Observer] = Observer, collector: type[Collector] = Collector,
-                 ledger: type[Ledger] = Ledger, apart: bool = False, lies: bool = False) -> None:  # fmt: skip
+                 ledger: type[Ledger] = Ledger, apart: bool = False, lies: bool = False,
+                 faulted: int = FAULTED) -> None:  # fmt: skip
         """`apart`: one zone is cut off from the keepers for most of the history. `lies`: all stands, and observers say
         better things of members that are the other's."""
         self.chance = pick = random.Random(seed)
         self.make_observer, self.make_collector = observer, collector
         self.ledger, self.index, self.now, self.seq = ledger(), 0, 0, 0
         self.way: list[tuple[int, int, Callable[[], None]]] = []
-        self.calm, self.apart, self.lies = False, apart, lies
+        self.calm, self.apart, self.lies, self.faulted = False, apart, lies, faulted
         self.history: list[tuple[int, bytes, bytes]] = []
         self.zones = [f"z{n}" for n in range(pick.randint(2, 3))]
         self.wall, self.leader_clock, self.reign = 10**13, Clock(pick, 4_000), 0
@@ -275,19 +276,19 @@
         for post in self.posts.values():
             self.later(self.chance.randrange(SECOND), lambda p=post: self.observe(p, 0))  # type: ignore[misc]
         self.later(SECOND, self.step)
-        while self.way and self.now <= (FAULTED + CALM) * SECOND:
+        while self.way and self.now <= (self.faulted + CALM) * SECOND:
             self.now, _, act = heapq.heappop(self.way)
             act()
         self.judge.finish()
 
     def step(self) -> None:
         """Each second: faults, and work."""
-        if self.now < FAULTED * SECOND:
+        if self.now < self.faulted * SECOND:
             if self.now > 15 * SECOND:
                 self.faults()
         elif not self.calm:
             self.heal()
-        if self.now == (FAULTED + CALM // 2) * SECOND and "director/ghost" in self.units:
+        if self.now == (self.faulted + CALM // 2) * SECOND and "director/ghost" in self.units:
             self.judge.ghost(self.units["director/ghost"])
             self.put("forget", unit="director/ghost", by="ann")  # its proxies stand against every `out`
         self.live()
@@ -438,7 +439,7 @@
         if not self.leads:
             return
         self.put("hold", holder="s", inc=1)
-        if self.now < (FAULTED + CALM // 8) * SECOND and pick.random() < 0.2:
+        if self.now < (self.faulted + CALM // 8) * SECOND and pick.random() < 0.2:
             self.number += 1
             host = pick.choice([u for u in self.units if u.startswith("host/")])
             self.put("ask", holder="s", inc=1, n=self.number, units=[host], length=5 * SECOND)
@@ -452,7 +453,7 @@
                 self.put(step, holder="s", inc=1, unit=unit, token=permit.token)
             if permit.state == "lost":
                 self.put("adopt", holder="s", inc=1, unit=unit)
-        if self.now > (FAULTED + CALM // 2) * SECOND:
+        if self.now > (self.faulted + CALM // 2) * SECOND:
             for ask in list(self.ledger.asks.values()):
                 self.put("cancel", holder="s", inc=1, n=int(ask.id.rpartition("/")[2]))
         if self.calm:
@@ -461,7 +462,7 @@
 
     def rests(self) -> bool:
         """Whether all has long been calm, and nothing is out or asked."""
-        return self.now > (FAULTED + CALM - 15) * SECOND and not self.ledger.permits
+        return self.now > (self.faulted + CALM - 15) * SECOND and not self.ledger.permits
 
     def known(self, zone: str) -> bool:
         """Whether the ledger has directors there."""
@@ -737,10 +738,11 @@
 def main() -> None:
     seeds = int(sys.argv[1]) if len(sys.argv) > 1 else 200
     first = int(sys.argv[2]) if len(sys.argv) > 2 else 0
+    made = {"faulted": int(sys.argv[3])} if len(sys.argv) > 3 else {}
     entries, bad = 0, 0
     counts: dict[str, int] = {}
     for seed in range(first, first + seeds):
-        sim, broken = play(seed)
+        sim, broken = play(seed, **made)
         entries += sim.index
         for what, n in sim.judge.counts.items():
             counts[what] = counts.get(what, 0) + n
--- a/tests/test_observers.py
+++ b/tests/test_observers.py
@@ -457,3 +457,36 @@
 def test_each_wrong_part_is_caught_by_the_name_of_what_it_breaks(name):
     made, names, first = MUTANTS[name]
     assert any(play(seed, **made)[1].partition(":")[0] in names for seed in range(first, first + 16))
+
+
+@pytest.mark.parametrize("seed", [2, 3, 7])
+def test_a_ledger_restored_again_and_again_answers_twisted_digests_as_one_that_went_on(seed):
+    chance, one, other = random.Random(seed), Ledger(), Ledger()
+    strange = ["host/h0-z0", "d0-z0", "z0", 0, 1, 10**9, True, False, None, [], {}]
+    for n, (index, entry, _) in enumerate(play(seed)[0].history):
+        held = json.loads(entry)
+        if chance.random() < 0.2:
+            parts = [held] + [v for v in held.values() if isinstance(v, dict)]
+            parts += [v for part in parts[1:] for v in part.values() if isinstance(v, dict | list)]
+            part = chance.choice([p for p in parts if p])
+            at = chance.choice(list(part)) if isinstance(part, dict) else chance.randrange(len(part))
+            if at not in ("k", "at"):
+                part[at] = chance.choice([*strange, chance.randrange(index + 1)])
+        packed = json.dumps(held).encode()
+        assert one.apply(index, packed) == other.apply(index, packed)
+        if n % 40 == 0:
+            snapshot, other = other.snapshot(), Ledger()
+            other.restore(snapshot)
+            assert other.snapshot() == snapshot
+    assert one.snapshot() == other.snapshot() and one.look() == other.look()
+    assert {z: n for z, n in one.behind.items() if n} == {z: n for z, n in other.behind.items() if n}
+
+
+def test_marks_reach_a_host_with_their_age_through_its_observer():
+    one = Observer("o", "z", 7, T, 10 * SECOND, 0, 900_000)
+    beats = {"beats": {u: {"inc": 1, "n": 1, "changed": 1, "zone": "z"} for u in ("host/a", "host/b")}, "stamp": None}
+    answer = one.beats(T, beats)
+    assert (answer["marks"], answer["marked"]) == ({}, -1)
+    one.marked(T + SECOND, [("host/a", "stopped", 5), ("host/c", "leaving", 3)])
+    answer = one.beats(T + 4 * SECOND, beats)  # whoever it is: an order is told by its token and how old it is
+    assert (answer["marks"], answer["marked"]) == ({"host/a": ["stopped", 5]}, 3 * SECOND)
