--- a/ironfall/lab/observers_sim.py
+++ b/ironfall/lab/observers_sim.py
@@ -121,7 +121,7 @@
                 self.unit(f"host/h{n}-{zone}", zone, mine)
         self.version = 0
         self.told: dict[str, Any] = {}
-        self.number = 0
+        self.number, self.holder = 0, 1
         self.tokens: dict[str, int] = {}
         self.until: dict[str, int] = {}
         self.collector: Collector | None = None
@@ -438,11 +438,14 @@
         pick = self.chance
         if not self.leads:
             return
-        self.put("hold", holder="s", inc=1)
+        held = self.ledger.holders.get("s")
+        if held is not None and not held.live:
+            self.holder, self.number = held.incarnation + 1, 0
+        self.put("hold", holder="s", inc=self.holder)
         if self.now < (self.faulted + CALM // 8) * SECOND and pick.random() < 0.2:
             self.number += 1
             host = pick.choice([u for u in self.units if u.startswith("host/")])
-            self.put("ask", holder="s", inc=1, n=self.number, units=[host], length=5 * SECOND)
+            self.put("ask", holder="s", inc=self.holder, n=self.number, units=[host], length=5 * SECOND)
         for unit, permit in list(self.ledger.permits.items()):
             step = {"granted": "drain", "draining": "out", "empty": "out", "out": "back"}.get(permit.state)
             if step == "out" and permit.state == "draining" and pick.random() < 0.9:
@@ -450,12 +453,12 @@
             if step == "back" and self.now < self.until.setdefault(unit, self.now + pick.randrange(8) * SECOND):
                 step = None
             if step and pick.random() < 0.8:
-                self.put(step, holder="s", inc=1, unit=unit, token=permit.token)
+                self.put(step, holder="s", inc=self.holder, unit=unit, token=permit.token)
             if permit.state == "lost":
-                self.put("adopt", holder="s", inc=1, unit=unit)
+                self.put("adopt", holder="s", inc=self.holder, unit=unit)
         if self.now > (self.faulted + CALM // 2) * SECOND:
             for ask in list(self.ledger.asks.values()):
-                self.put("cancel", holder="s", inc=1, n=int(ask.id.rpartition("/")[2]))
+                self.put("cancel", holder="s", inc=self.holder, n=int(ask.id.rpartition("/")[2]))
         if self.calm:
             for scope in list(self.ledger.halts):
                 self.put("lift", scope=scope, by="ann")
@@ -679,25 +682,25 @@
     "an observer that takes stamps of another incarnation": ({"observer": TakesAnyStamp}, {"age"}, 0),
     "an observer that takes late words": ({"observer": TakesOldWords}, {"late", "word", "age"}, 18),
     "an observer that forgets who is gone": ({"observer": ForgetsWhoIsGone}, {"lost"}, 3),
-    "an observer that never doubts itself": ({"observer": NeverDoubtsItself}, {"death"}, 8),
+    "an observer that never doubts itself": ({"observer": NeverDoubtsItself}, {"death"}, 4),
     "an observer that says better things": ({"observer": SaysBetterThings}, {"word"}, 0),
     "a collector that buries a zone with its observers": ({"collector": BuriesThemTogether}, {"death"}, 0),
     "a collector that takes a silent observer's members for alive": ({"collector": KeepsThemAlive}, {"age"}, 0),
     "a collector that knows every zone": ({"collector": KnowsEveryZone}, {"unknown"}, 1),
-    "a collector that trusts half a table": ({"collector": TrustsHalfATable}, {"age"}, 0),
+    "a collector that trusts half a table": ({"collector": TrustsHalfATable}, {"age"}, 1),
     "a collector that takes stamps of another reign": ({"collector": TakesAnyReign}, {"age"}, 0),
     "a collector that tells all each second": ({"collector": TellsAll}, {"entries"}, 0),
     "a collector that hears the former observer": ({"collector": HearsTheFormer}, {"age", "word", "death"}, 0),
     "a collector that takes the newer word of two": ({"collector": TakesTheNewerWord}, {"worse"}, 5),
     "a collector that tells nothing of hosts": ({"collector": TellsNothingOfHosts}, {"level"}, 0),
-    "a new leader that takes not yet heard for gone": ({"collector": KnowsAtOnce}, {"death"}, 4),
+    "a new leader that takes not yet heard for gone": ({"collector": KnowsAtOnce}, {"death"}, 0),
     "a ledger that begins in an unknown zone": ({"ledger": BeginsInTheUnknown}, {"unknown"}, 0),
     "a ledger that believes an old vouch": ({"ledger": BelievesAnOldVouch}, {"empty"}, 0),
     "a ledger that asks no zone": ({"ledger": AsksNoZone}, {"empty"}, 0),
-    "a ledger that takes a host for quiet": ({"ledger": HearsHostsAtOnce}, {"empty"}, 18),
+    "a ledger that takes a host for quiet": ({"ledger": HearsHostsAtOnce}, {"empty"}, 4),
     "a ledger that takes late words": ({"ledger": TakesLateWords, "collector": RepeatsItself}, {"late"}, 0),
     "a ledger that takes ready for back": ({"ledger": TakesReadyForBack}, {"back"}, 0),
-    "a ledger that sees nobody back": ({"ledger": NeverSeesBack}, {"ends"}, 1),
+    "a ledger that sees nobody back": ({"ledger": NeverSeesBack}, {"ends"}, 2),
 }
 
 
--- a/ironfall/observers/collector.py
+++ b/ironfall/observers/collector.py
@@ -31,6 +31,7 @@
     at: int = -1  # when what `n` and `quiet` are of was said
     zone: str = ""
     home: str = ""  # the observer that heard it
+    seen: int = -1  # the latest that any says to have heard it, in this incarnation
 
 
 @dataclass(slots=True)
@@ -233,10 +234,12 @@
         if not found:
             return None
         newest = max(found, key=lambda one: (one.inc, one.changed, one.home))
+        seen = max(one.heard for one in found if one.inc == newest.inc)
         for one in found if len(found) > 1 else ():
             if one is not newest and one.inc == newest.inc and (
                     one.changed == newest.changed or one.heard > newest.heard - 2 * LATE):  # fmt: skip
                 newest = self._join(unit, newest, one)
+        newest.seen = seen
         return newest
 
     @staticmethod
@@ -268,7 +271,7 @@
         zone, least = director.zone, self._least()
         heard = self.began
         if one is not None and one.inc == director.incarnation:
-            heard = max(heard, one.heard)
+            heard = max(heard, one.seen)  # what they contradict each other in is no death either
         # Where it was at home nobody stands any more, or it is not known where that was: it may be on its way.
         home = self.seats.get(one.home) if one is not None else None
         patience = least if home is not None and self._stands(home, now) else least + self.ledger.rules.lease
--- a/ironfall/observers/observer.py
+++ b/ironfall/observers/observer.py
@@ -24,6 +24,7 @@
     told: Word = field(default_factory=dict)  # the word of the last difference, and when that was made
     told_at: int = 0
     gone: bool = False
+    anew: bool = False  # it came back from another observer: the leader must know whose word is the newer
 
 
 class Observer:
@@ -69,6 +70,8 @@
                 over[unit] = self.over[unit]
             elif heard < 0:
                 whole.append(unit)
+                if unit in self.members:
+                    self.members[unit].anew = True
             elif why := self._beat(now, heard, unit, beat):
                 (whole if why == "whole" else full).append(unit) if why in ("whole", "full") else refused.update(
                     {unit: why})  # fmt: skip
@@ -127,8 +130,8 @@
         one.inc, one.n, one.changed, one.quiet = beat["inc"], beat["n"], beat["changed"], beat["quiet"]
         if word is not None:
             one.word = word
-        if fresh or one.gone or self._differs(now, unit, one):
-            one.gone = False
+        if fresh or one.gone or one.anew or self._differs(now, unit, one):
+            one.gone = one.anew = False
             self._change(now, unit, one)
         return ""
 
--- a/tests/test_observers.py
+++ b/tests/test_observers.py
@@ -180,6 +180,32 @@
     assert fleet.collector.evidence(unit).word["proxies"] == 10
 
 
+def test_a_contradiction_is_no_death_and_nobody_is_vouched_for_by_it():
+    fleet = Fleet(zones=1, directors=3, hosts=3)
+    fleet.second(10)
+    unit = "director/z0-1"
+    mine, other = sorted(fleet.observers, key=lambda name: unit not in fleet.observers[name].members)
+    true = fleet.observers[mine].members[unit]
+    fleet.observers[other].beats(fleet.now, {"beats": {unit: {
+        "inc": 1, "n": true.n, "changed": true.changed, "zone": "z0", "word": WORD | {"version": "1"}}},
+        "stamp": [1, fleet.now], "since": 0})  # fmt: skip
+    fleet.second(8)  # the other's grows old, and home hears it all the while
+    one = fleet.collector.evidence(unit)
+    assert one.heard < fleet.now - RULES.lease < one.seen and fleet.live() == 3
+
+
+def test_who_goes_to_the_other_observer_and_back_is_heard_by_the_one_it_is_at():
+    fleet = Fleet(zones=1, directors=3, hosts=3)
+    fleet.second(10)
+    home = fleet.homes["director/z0-1"]
+    first = home.home
+    for name in (home.order[0] if home.order[0] != first else home.order[1], first):
+        home.home, home.stamp, home.words = name, None, {}
+        fleet.second(2)
+        one = fleet.collector.evidence("director/z0-1")
+        assert one.home == name and one.heard > fleet.now - 3 * SECOND
+
+
 def test_members_at_rest_cost_the_log_nothing_whatever_their_number():
     counts = []
     for hosts in (5, 20, 80):
