--- a/benchmarks/scale/observed_rest.py
+++ b/benchmarks/scale/observed_rest.py
@@ -21,5 +21,5 @@
 
 def play(size, chance):
     with tempfile.TemporaryDirectory() as folder:
-        found = calm(size, chance, Path(folder) / "group", TOGETHER, SECONDS)
+        found = calm(size, chance, Path(folder), TOGETHER, SECONDS)
     return {name: found[name] for name in FIGURES}
