--- a/benchmarks/scale/observed.py
+++ b/benchmarks/scale/observed.py
@@ -16,7 +16,7 @@
     "member_bytes_out_s": "B/s", "member_bytes_in_s": "B/s", "unheard_s": "1/s", "observer_mb": "MB", "leader_mb": "MB",
 }  # fmt: skip
 LEFT_OUT = ("Members are their heartbeats alone, with words that never change; one of eight is a director; bytes are "
-            "those of bodies, without heads of HTTP, TCP and IP.")  # fmt: skip
+            "those of HTTP, without heads of TCP and IP.")  # fmt: skip
 COUNTED = frozenset({"not_ticks"})  # of ten seconds
 PROCESSES = 7 + -(-SIZES[-1] // SHARED)
 TOGETHER, SECONDS = 1, 10.0
