--- a/benchmarks/scale/_observed.py
+++ b/benchmarks/scale/_observed.py
@@ -63,7 +63,7 @@
 
     def __init__(self, terms, numbers, chance, counts):
         self.terms, self.chance, self.counts = terms, chance, counts
-        self.zone = terms.zones[numbers[0] // DIRECTORS % len(terms.zones)]
+        self.zone = terms.zones[numbers[0] // max(DIRECTORS, len(numbers)) % len(terms.zones)]
         self.units = {unit_of(n): dict(WORD) if n % DIRECTORS == 0 else {"up": True, "token": 0} for n in numbers}
         self.inc, self.heard_at = 1, 0.0
         self.begin()
