--- a/tests/test_observer.py
+++ b/tests/test_observer.py
@@ -11,6 +11,7 @@
 
 from ironfall.api.http import Answer, HttpClient
 from ironfall.director.member import Way
+from ironfall.keeper.client import Heard
 from ironfall.keeper.sums import answered, asked
 from ironfall.lab.between import SPOILT, TORN, TWICE, VANISHES, Fate, asks
 from ironfall.lab.relayed import Holder
@@ -108,6 +109,21 @@
     program.stop()
 
 
+def test_of_two_observers_of_one_name_the_one_begun_first_ends_with_one():
+    own = (ObserverTerms("o1", ("127.0.0.1", 0), "east"), *TERMS.fleet.observers[1:])
+    program, said = Program(replace(TERMS, fleet=replace(TERMS.fleet, observers=own)), "o1", Quiet(), 1), []
+
+    def observed(report, _seconds):
+        said.append(report)
+        later = report["inc"] + (1 if len(said) == 3 else 0)
+        return Heard("", {"stamp": [1, 5], "have": 0, "inc": later, "wanted": [], "drop": [], "over": {}})
+
+    program.keepers = SimpleNamespace(observed=observed, marks=lambda *_: Heard("silent"), close=lambda: None)
+    program.start()
+    assert program.done.wait(10.0) and program.status == 1
+    assert [report["seq"] for report in said] == [1, 2, 3] and said[2]["stamp"] == [1, 5]
+
+
 def test_marks_are_as_old_as_when_they_were_asked_for_and_older_ones_count_for_nothing():
     now = [100.0]
     way = Heartbeats("east", TERMS.fleet.observers, 6 * SECOND, random.Random(1), lambda: now[0])
@@ -148,6 +164,9 @@
         until(lambda: works.ended and it.registry.rows[host.id]["state"] == "ready", 60)
         until(lambda: group.ledger()["permits"] == {} and group.knows(*ZONES))
         job.join()
+        for name in ZONES:
+            group.processes[name].terminate()
+        assert {group.processes[name].wait(10) for name in ZONES} == {0}
     told = [row["e"] for row in it.judged() if "unit" in row and row["e"] != "shown"]
     assert told == ["stopped", "started"]
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -182,10 +182,12 @@
     [("at 3s crash h99 for 2s", "no host is called 'h99'"), ("at 3s crash h01", "expected for TIME"),
      ("at 3s melt h01", "unknown trouble 'melt'"), ("at x crash h01 for 2s", "expected a time"),
      ("hosts a two", "expected a number of hosts"), ("break 3", "unknown word 'break'"),
-     ("at 1s break 300%", "expected a part"), ("demand 5 6", "'6' is left over")],
+     ("at 1s break 300%", "expected a part"), ("demand 5 6", "'6' is left over"),
+     ("at 1s restart o1\nat 2s kill o2 for 1s\nat 3s mute o1 for 1s\nat 4s restart k1", "no host is called 'k1'")],
 )  # fmt: skip
 def test_a_bad_day_names_its_line(line, what):
     text = "terms t\nhosts a 2\nproxies a 1\ndirector a\ndemand 5\nclass c share 100% work 50ms\n"
     with pytest.raises(BadDay) as caught:
         read_day("d", text + line)
-    assert str(caught.value).startswith("d:7: ") and what in str(caught.value), json.dumps(str(caught.value))
+    place = f"d:{7 + line.count(chr(10))}: "
+    assert str(caught.value).startswith(place) and what in str(caught.value), json.dumps(str(caught.value))
