--- a/ironfall/observer/program.py
+++ b/ironfall/observer/program.py
@@ -27,7 +27,7 @@
 OTHERS = 256  # connections beside those of members: operators, and members that come anew before the old one is known
 EVERY, PATIENCE = 1.0, 0.8  # seconds between reports, and for the answer of one: the next says what it did not bring
 MARKS_WAIT = 1.0  # seconds that keepers hold a poll of marks
-MARKS_AGAIN = 5.0  # the longest between two tries
+MARKS_LEAST, MARKS_AGAIN = 0.05, 5.0  # between two polls at least, and between two tries at most
 
 
 class Program:
@@ -195,6 +195,7 @@
                 if self.deaf:
                     self.log.info("keepers tell marks")
                 self.deaf, wait = "", MARKS_AGAIN / 16
+                gevent.sleep(MARKS_LEAST)
 
 
 def _answer(status: int, told: Any) -> Answer:
