--- a/ironfall/permits/terms.py
+++ b/ironfall/permits/terms.py
@@ -189,8 +189,8 @@
             source.fault(one.values[1].at, f"observer {name} stands at another's address")
         if zone and facts is not None and zone not in facts.zones:
             source.fault(one.lists["zone"][0].at, f"unknown zone {zone}; expected one of: {', '.join(facts.zones)}")
-        if room < 1_024:
-            source.fault(one.lists["room"][0].at, "(room N) of an observer is at least 1024 members")
+        if not 1_024 <= room <= ObserverTerms.room:
+            source.fault(one.lists["room"][0].at, f"(room N) is from 1024 to {ObserverTerms.room} members")
         found.append(ObserverTerms(name, address, zone, room))
         taken = [*taken, address]
         first.setdefault(zone, node)
--- a/tests/test_observers.py
+++ b/tests/test_observers.py
@@ -468,7 +468,7 @@
  (observer "c" (zone "west")) (observer "d" "127.0.0.1:4" (colour 1))""")
     found = {":".join(f.split(":")[1:3]): f for f in faults}
     expected = {"2:16": "another's address", "2:2": "one observer", "3:12": "named twice", "3:30": "unknown zone north",
-                "3:45": "at least 1024", "3:2": "one observer", "4:2": "expected (observer",
+                "3:45": "from 1024 to 16384", "3:2": "one observer", "4:2": "expected (observer",
                 "4:31": "(zone ...) is missing", "4:59": "unknown word colour"}  # fmt: skip
     assert found.keys() == expected.keys(), faults
     assert all(cause in found[place] for place, cause in expected.items()), faults
