--- a/ironfall/keeper/observed.py
+++ b/ironfall/keeper/observed.py
@@ -1,11 +1,17 @@
 """What observers report to this keeper while it leads, and the digests that it puts into the log of it."""
 
+from itertools import islice
 from typing import Any
 
+import gevent
+from gevent.event import Event
+
 from ironfall.agreement import Outcome
 from ironfall.keeper.keeper import LEADER, Keeper
 from ironfall.observers import Collector
+from ironfall.observers.collector import ENTRIES
 
+SOON = 0.25  # seconds that what is waited for may wait for more like it
 PATIENCE = 2.0  # seconds for an entry; what is in doubt is found due again
 
 
@@ -17,6 +23,7 @@
         self.keeper, self.observers = keeper, observers
         self.made: tuple[Any, int] = (None, 0)  # of which machine and reign
         self.held: Collector | None = None
+        self.urgent, self.early, self.putting = Event(), 0, False
 
     def collector(self) -> Collector | None:
         """Of this reign; None where this keeper leads none, or has not opened it yet."""
@@ -30,15 +37,51 @@
             self.made = keeper.machine, member.reign
         return self.held
 
+    def report(self, collector: Collector, message: Any) -> dict[str, Any]:
+        """The answer to an observer. Raises `ValueError` naming the place of what is malformed."""
+        answer = collector.report(self.keeper.now(), message)
+        if "why" not in answer and any(self._waited_for(unit, row[3]) for unit, row in message["members"].items()):
+            self.urgent.set()
+        return answer
+
+    def _waited_for(self, unit: str, word: dict[str, Any]) -> bool:
+        """Whether it changes who is out, or what may go out."""
+        ledger, name = self.keeper.machine.ledger, unit.partition("/")[2]
+        if unit.startswith("host/"):
+            return name in ledger.hosts and (ledger.hosts[name].up != word["up"] or unit in ledger.permits)
+        known = ledger.directors.get(name)
+        return known is not None and known.live and (
+            set(known.silent) != set(word.get("silent", ())) or known.leaving != word.get("leaving", False))  # fmt: skip
+
     def put(self) -> None:
         """Once a second, after the tick: this second's digests, until one of them is not agreed."""
-        keeper, collector = self.keeper, self.collector()
-        if collector is None or not keeper.machine.ledger.agreed:
-            return
-        made = max(keeper.wall(), keeper.machine.ledger.now)
-        for entry in collector.digests(keeper.now(), made):
-            if keeper.ask("", 0, entry, PATIENCE)[0] is not Outcome.DONE or self.held is not collector:
-                return
+        self._put(ENTRIES - self.early)
+        self.early = 0
+
+    def hasten(self) -> None:
+        """A loop: what is waited for goes sooner, an entry at a time, within the number of a second."""
+        while True:
+            self.urgent.wait()
+            gevent.sleep(SOON)
+            self.urgent.clear()
+            if self.early < ENTRIES - 1:
+                self.early += self._put(1)
+
+    def _put(self, most: int) -> int:
+        """How many were put."""
+        keeper, collector, count = self.keeper, self.collector(), 0
+        if collector is None or not keeper.machine.ledger.agreed or self.putting:
+            return 0  # what is due is due at the next second too
+        self.putting = True
+        try:
+            made = max(keeper.wall(), keeper.machine.ledger.now)
+            for entry in islice(collector.digests(keeper.now(), made), most):
+                count += 1
+                if keeper.ask("", 0, entry, PATIENCE)[0] is not Outcome.DONE or self.held is not collector:
+                    break
+        finally:
+            self.putting = False
+        return count
 
     def look(self, ledger: dict[str, Any]) -> dict[str, Any]:
         """What operators are shown of observers. What directors said last comes into `ledger`, a look at it, in place
--- a/ironfall/keeper/program.py
+++ b/ironfall/keeper/program.py
@@ -54,6 +54,8 @@
         self.server.start()
         self.keeper.begin()
         self.loops = [self.keeper.spawn(loop) for loop in (self._beat, self._find_group, self.api.watch)]
+        if self.observed is not None:
+            self.loops.append(self.keeper.spawn(self.observed.hasten))
         self.keeper.broken.rawlink(lambda _: self.done.set())
         self.log.info("listening", port=self.server.port)
 
--- a/ironfall/keeper/server.py
+++ b/ironfall/keeper/server.py
@@ -148,7 +148,7 @@
         if collector is None:
             return _answer(503, {"why": "a reign that has only begun"}, True)
         try:
-            return _answer(200, collector.report(keeper.now(), self._body(request)))
+            return _answer(200, self.observed.report(collector, self._body(request)))
         except ValueError as wrong:
             raise Refused(400, str(wrong)) from None
 
--- a/ironfall/observer/program.py
+++ b/ironfall/observer/program.py
@@ -19,6 +19,7 @@
 from ironfall.keeper.client import Keepers
 from ironfall.keeper.sums import SUM, answered, asked
 from ironfall.observers import Observer
+from ironfall.observers.heartbeats import matters
 from ironfall.terms import Terms
 
 SECOND = 10_000
@@ -26,6 +27,7 @@
 BODY = 8 * 2**20  # of a message of beats: 1,024 with their words
 OTHERS = 256  # connections beside those of members: operators, and members that come anew before the old one is known
 EVERY, PATIENCE = 1.0, 0.8  # seconds between reports, and for the answer of one: the next says what it did not bring
+SOON = 0.3  # the least between two, where something came that others wait for
 MARKS_WAIT = 1.0  # seconds that keepers hold a poll of marks
 MARKS_LEAST, MARKS_AGAIN = 0.05, 5.0  # between two polls at least, and between two tries at most
 
@@ -50,7 +52,7 @@
         self.counts = {"messages": 0, "beats": 0, "received": 0, "reports": 0, "reported": 0, "unheard": 0}
         self.trouble, self.deaf, self.status = "", "", 0
         self.doubts, self.index = False, -1
-        self.done = Event()
+        self.done, self.urgent = Event(), Event()
         self.loops: list[gevent.Greenlet] = []
 
     def now(self) -> int:
@@ -115,13 +117,28 @@
             message = json.loads(bytes(request.body))
         except (ValueError, RecursionError) as wrong:
             raise Refused(400, f"the body is no JSON: {wrong}") from None
+        told = self._told(message)
         try:
             answer = self.observer.beats(self.now(), message)
         except ValueError as wrong:
             raise Refused(400, str(wrong)) from None
         self.counts["beats"] += len(message["beats"])
+        if any(self._matters(unit, word) for unit, word in told.items()):
+            self.urgent.set()
         return answer
 
+    def _told(self, message: Any) -> dict[str, Any]:
+        """What the leader was told of those that say a new word."""
+        beats, members = message.get("beats") if isinstance(message, dict) else None, self.observer.members
+        return {unit: members[unit].told for unit, one in (beats.items() if isinstance(beats, dict) else ())
+                if unit in members and isinstance(one, dict) and one.get("word")}  # fmt: skip
+
+    def _matters(self, unit: str, told: Any) -> bool:
+        word = self.observer.members[unit].word
+        if word == told or unit.startswith("host/"):
+            return bool(word != told)
+        return bool(word["drained"] != told["drained"] or matters(told, word, self.observer.near))
+
     def _look(self, request: Request) -> Any:
         return self.observer.look(self.now()) | {"counts": self.counts, "connections": self.server.open,
                                                  "trouble": self.trouble or self.deaf}  # fmt: skip
@@ -129,10 +146,14 @@
     # the leader
 
     def _report(self) -> None:
-        due = self.monotonic() + EVERY * self.chance.random()
+        last = self.monotonic()
+        due = last + EVERY * self.chance.random()
         while True:
-            gevent.sleep(max(0.0, due - self.monotonic()))
-            due = self.monotonic() + EVERY * (0.9 + 0.2 * self.chance.random())
+            self.urgent.wait(max(0.0, due - self.monotonic()))
+            gevent.sleep(max(0.0, last + SOON - self.monotonic()))
+            self.urgent.clear()
+            last = self.monotonic()
+            due = last + EVERY * (0.9 + 0.2 * self.chance.random())
             report = self.observer.report(self.now())
             self._doubts()
             self.counts["reports"] += 1
