--- a/ironfall/keeper/observed.py
+++ b/ironfall/keeper/observed.py
@@ -50,8 +50,9 @@
         if unit.startswith("host/"):
             return name in ledger.hosts and (ledger.hosts[name].up != word["up"] or unit in ledger.permits)
         known = ledger.directors.get(name)
-        return known is not None and known.live and (
-            set(known.silent) != set(word.get("silent", ())) or known.leaving != word.get("leaving", False))  # fmt: skip
+        if known is None or not known.live:
+            return False
+        return set(known.silent) != set(word.get("silent", ())) or known.leaving != word.get("leaving", False)
 
     def put(self) -> None:
         """Once a second, after the tick: this second's digests, until one of them is not agreed."""
