--- a/ironfall/keeper/program.py
+++ b/ironfall/keeper/program.py
@@ -18,6 +18,7 @@
 from ironfall.api.http import HttpClient, HttpServer
 from ironfall.durable.disk import Disk
 from ironfall.keeper.keeper import LOOKS, Keeper, bounds_of
+from ironfall.keeper.observed import Observed
 from ironfall.keeper.server import MARKS_TIME, Api
 from ironfall.keeper.sums import whole
 from ironfall.terms import Terms
@@ -45,7 +46,9 @@
         limits = terms.limits
         http = HttpBounds(limits.held, BODY, limits.header_time / SECOND, MARKS_TIME + limits.idle / SECOND,
                           limits.write_time / SECOND)  # fmt: skip
-        self.api = Api(self.keeper)
+        observers = {one.name: one.zone for one in terms.fleet.observers}
+        self.observed = Observed(self.keeper, observers) if observers else None
+        self.api = Api(self.keeper, self.observed)
         self.server = HttpServer(dict(group)[name], http, self.api.handle)
         self.done = Event()
 
@@ -53,6 +56,8 @@
         self.server.start()
         self.keeper.begin()
         self.loops = [self.keeper.spawn(loop) for loop in (self._beat, self._find_group, self.api.watch)]
+        if self.observed is not None:
+            self.loops.append(self.keeper.spawn(self.observed.hasten))
         self.keeper.broken.rawlink(lambda _: self.done.set())
         self.log.info("listening", port=self.server.port)
 
@@ -92,6 +97,9 @@
                 # What is in doubt is found due again at the next beat, by whoever leads then.
                 if keeper.ask("", 0, entry, 2 * TICK)[0] is not Outcome.DONE:
                     break
+            else:
+                if self.observed is not None:
+                    self.observed.put()
 
     def _find_group(self) -> None:
         """A blank keeper asks the others who they are. One that its group began with is told so by any of them; a
