--- a/benchmarks/capacity/plot.py
+++ b/benchmarks/capacity/plot.py
@@ -10,6 +10,8 @@
 from benchmarks.capacity.roles import ROWS, WHOLE, Row, cells
 
 PANELS, COLUMNS = 12, 4
+TINY = 1e-9
+PART = 0.25  # of a need, below which a figure is not what it goes by
 
 
 @dataclass(frozen=True)
@@ -21,17 +23,31 @@
 
 
 def panels(capacity: Capacity) -> list[Panel]:
-    """Of each figure that a row with a limit reads at a size, the row of the highest factor; worst first."""
+    """Of each row with a limit the figure that most of its need comes from, if it is read at a size; worst first, and
+    each figure once."""
     found: dict[str, Panel] = {}
     for row in ROWS:
-        worst = {name: max(c.factor or 0.0 for c in cells(capacity, row, name)) for name in row.on}
-        on = max(worst, key=lambda name: worst[name])
-        for use in row.need.uses:
-            if worst[on] and use.size is not None and worst[on] > (found[use.name].factor if use.name in found else 0):
-                found[use.name] = Panel(row, on, use, worst[on])
+        worst = {(name, n): c for name in row.on for n, c in enumerate(cells(capacity, row, name)) if c.factor}
+        if not worst:
+            continue
+        on, n = max(worst, key=lambda key: worst[key].factor or 0.0)
+        cell = worst[on, n]
+        parts = {use: 1 - _without(row, use, cell.place) / (cell.need or 1.0) for use in row.need.uses}
+        use = max(parts, key=lambda one: parts[one], default=None)
+        if use is None or use.size is None or parts[use] < PART:
+            continue
+        if cell.factor and cell.factor > (found[use.name].factor if use.name in found else 0.0):
+            found[use.name] = Panel(row, on, use, cell.factor)
     return sorted(found.values(), key=lambda p: -p.factor)[:PANELS]
 
 
+def _without(row: Row, use: Use, place: Place) -> float:
+    """The need, were this figure as good as nought."""
+    slope, capacity = place.capacity.slopes[use.name], place.capacity
+    little = replace(slope, slope=TINY * slope.slope, values=tuple(TINY * value for value in slope.values))
+    return row.need.of(replace(place, capacity=replace(capacity, slopes={**capacity.slopes, use.name: little})))
+
+
 def draw(capacity: Capacity, out: str) -> None:
     import matplotlib
 
@@ -74,10 +90,7 @@
 def limit_of(panel: Panel, place: Place) -> float:
     """The figure's value at which the need is the limit, the rest of the need as it is; 0 where the rest is over it."""
     assert panel.row.limit is not None and panel.use.size is not None
-    capacity, name = place.capacity, panel.use.name
-    none = replace(capacity.slopes[name], fixed=0.0, slope=0.0, values=(0.0,) * len(capacity.slopes[name].values))
-    without = replace(place, capacity=replace(capacity, slopes={**capacity.slopes, name: none}))
-    rest, need, limit = panel.row.need.of(without), panel.row.need.of(place), panel.row.limit.of(place)
+    rest, need, limit = _without(panel.row, panel.use, place), panel.row.need.of(place), panel.row.limit.of(place)
     if limit <= rest or need <= rest:
         return 0.0
-    return capacity.slopes[name].at(panel.use.size.of(place)) * (limit - rest) / (need - rest)
+    return place.capacity.slopes[panel.use.name].at(panel.use.size.of(place)) * (limit - rest) / (need - rest)
