--- a/ironfall/lab/observers_judge.py
+++ b/ironfall/lab/observers_judge.py
@@ -217,7 +217,7 @@
         for came, beat, post, life in reversed(self.accepted.get(unit, [])):
             if came < sim.now - lease:
                 break
-            told = any(made >= came for made in self.taken.get(post, ())) and self.reign == sim.reign
+            told = any(made > came for made in self.taken.get(post, ())) and self.reign == sim.reign
             # Its stamp may have been up to a second on its way.
             if beat["t"] > sim.now - lease + SECOND * 3 // 2 and beat["inc"] == inc and told and (
                     sim.posts[post].life == life):  # fmt: skip
--- a/ironfall/observers/collector.py
+++ b/ironfall/observers/collector.py
@@ -273,9 +273,11 @@
         heard = self.began
         if one is not None and one.inc == director.incarnation:
             heard = max(heard, one.seen)  # what they contradict each other in is no death either
-        # Where it was at home nobody stands any more, or it is not known where that was: it may be on its way.
+        # Where its home has not watched all the while, or is not known: it may be on its way to the other, or still in
+        # the ears of one that stood still.
         home = self.seats.get(one.home) if one is not None else None
-        patience = least if home is not None and self._stands(home, now) else least + self.ledger.rules.lease
+        watched = home is not None and self._stands(home, now) and home.watching <= now - least
+        patience = least if watched else least + self.ledger.rules.lease
         if now - heard < patience:
             return -1, heard + patience
         known = zone in self.ledger.zones and not self.ledger.zones[zone].unknown
