Count messages to a proxy by its name over its sessions

A name that joins anew each half second at a list that changes each half second, with 12 messages allowed in 10 s, was written 20 in 10 s: one at each tick of the decisions, each a binding (traced: versions 2 to 40, proxies 1 to 39, of 22 to 32 lines).

Cause: Program._join opened a session under a new number (Sessions.open) and told the decisions `joined`; for them that is a proxy of its own (Director.joined: tables of -1; Book.joined: an empty deque of messages), so that _bind bound it at the next tick with its count at nought, however many its name had been written. The same for a name that left or lapsed.

Ruled out: keeping the number and saying `strayed` in place of `joined` keeps the decisions' own count, but they bind who strayed once a span of 10 s, later than the 6 s in which a second restart must be bound, and a changed zone needs `joined`; keeping the number and saying `joined` empties the count all the same; a 429 for the join sends an obedient proxy to another director. Whole states are no part of it: `strayed` is counted in the same book.

Mend, in the long-poll front alone: the channel counts by name what waits in it or left it within the span. A name that joins anew with at most one message left gets its session, which is throttled: the decisions are told of it when two are free. As their count is new with each session, one whose name was written to before is throttled in its middle too, at the last message allowed, until its own count covers the span. The publication goes on with it, so that the next binding brings all that it missed. Its sums are answered 429 meanwhile, as the decisions pass over what came to whom they do not know. The record is bounded by the channel: what it sends in a span and holds. Out of scope: a name that alternates between directors, or joins over a restart of one; each counts by itself from its start on.

By joining, leaving, lapsing and all of it at limits of 1, 2, 12 and 20 no name is written more, by order and by leaving.

--- a/ironfall/director/channel.py
+++ b/ironfall/director/channel.py
@@ -1,6 +1,6 @@
 """The channel from a director to its proxies: messages in order, each as long as its lines at the agreed pace."""
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass
 
 SECOND = 10_000
@@ -15,13 +15,20 @@
     mark: int  # -1 for none
     whole: bool  # a whole state in place of changes
     leaves: float = 0.0
+    name: str = ""  # of the proxy, in whatever session
 
 
 class Channel:
-    """Pure. The backlog is what was ordered and has not left; times are tenths of a millisecond."""
+    """Pure. The backlog is what was ordered and has not left; times are tenths of a millisecond.
 
-    def __init__(self, lines_each_second: float) -> None:
-        self.pace = lines_each_second / SECOND
+    Messages are counted by name over `span`, a sliding window log: its bound is what the channel sends in a span and
+    what waits, so that it is never full.
+    """
+
+    def __init__(self, lines_each_second: float, span: int = 0) -> None:
+        self.pace, self.span = lines_each_second / SECOND, span
+        self.counts: Counter[str] = Counter()  # of names with a message that waits or left within the span
+        self.log: deque[tuple[int, str]] = deque()  # when what was counted left
         self.waiting: deque[Message] = deque()
         self.backlog = 0.0
         self.most = 0.0  # the largest backlog so far
@@ -32,6 +39,7 @@
         self.free_at = max(self.free_at, float(now)) + message.lines / self.pace
         message.leaves = self.free_at
         self.waiting.append(message)
+        self.counts[message.name] += 1
         self.backlog += message.lines
         self.most = max(self.most, self.backlog)
 
@@ -41,16 +49,30 @@
 
     def leave(self, now: int) -> list[Message]:
         """Those whose time has come, in order."""
+        self._forget_old(now)
         gone = []
         while self.waiting and self.waiting[0].leaves <= now:
             message = self.waiting.popleft()
             self.backlog -= message.lines
             self.sent += message.lines
+            self.log.append((now, message.name))
             gone.append(message)
         if not self.waiting:
             self.backlog = 0.0
         return gone
 
+    def written(self, now: int, name: str) -> int:
+        """The messages to a name that wait or left within the span, those of its sessions that ended too."""
+        self._forget_old(now)
+        return self.counts[name]  # a Counter: asking adds no name
+
+    def _forget_old(self, now: int) -> None:
+        while self.log and now - self.log[0][0] > self.span:
+            name = self.log.popleft()[1]
+            self.counts[name] -= 1
+            if not self.counts[name]:
+                del self.counts[name]
+
     def forget(self, proxy: int) -> None:
         """A stream has ended: what waits for it leaves in its time, to nobody, as it would on a real line."""
         for message in self.waiting:
--- a/ironfall/director/live.py
+++ b/ironfall/director/live.py
@@ -1,5 +1,6 @@
 """The live director over the long-poll protocol: the turn loop, and its exit into publication, channel and sessions."""
 
+import math
 from typing import Any, Protocol, TextIO
 
 from hdrh.histogram import HdrHistogram
@@ -80,6 +81,7 @@
             self.checked = now
             for session in self.live.sessions.lapsed(now):
                 self.live.leave(session, "no poll within the time allowed")
+            self.live.resume(now)
 
     def close(self, now: int) -> None:
         live, mark = self.live, self.mark_now
@@ -87,8 +89,13 @@
         head = live.service.message_head + (mark >= 0)
         for proxy, lines in costs.items():
             session = live.sessions.by_number.get(proxy)
+            if session is not None and session.throttled:
+                continue  # what it misses comes with its next binding
             whole = session is not None and session.resync and self.bound.get(proxy) == live.every
-            live.channel.put(now, Message(proxy, live.publication.version, lines + head, now, mark, whole))
+            name = session.name if session else ""
+            live.channel.put(now, Message(proxy, live.publication.version, lines + head, now, mark, whole, name=name))
+            if session is not None and now < session.anew_until and live.spent(now, name, 0):
+                live.throttle(session)
         for what, about in self.said:
             live.log.info(what, version=live.publication.version, **about)
         self.said, self.mark_now, self.bound = [], -1, {}
@@ -122,17 +129,59 @@
         self.terms, self.epoch, self.clock = terms, epoch, clock
         limits = terms.limits
         self.publication = Publication(epoch, len(terms.classes), limits.versions, limits.entries)
-        self.channel = Channel(terms.lines_each_second)
+        self.channel = Channel(terms.lines_each_second, terms.service.message_span)
         self.intake = Intake(clock.now(), terms.service.report_every, terms.report_lines)
         self.roster = Roster(terms.zones, terms.service.cold_time)
         self.sessions = Sessions(limits.sessions, limits.lapse, limits.polls)
+        self.throttled: dict[int, Session] = {}  # by number
         self.every = (1 << len(terms.classes)) - 1
         self.by_zone = [(0.0, 0)] * len(terms.zones)  # lines and messages that left, to proxies still there
         self.applies = HdrHistogram(1, 600_000_000, 3)  # from order to the proxy's confirmation
         super().__init__(terms.service, seed, clock, decide, log, LongPoll(self), self.intake, limits.events, record)
 
+    def join(self, session: Session, rate: float) -> None:
+        session.rate = rate
+        session.released = session.confirmed = self.publication.join(session.number)
+        self.intake.joined(session.number, rate)
+        now = self.clock.now()
+        if self.spent(now, session.name, 1):
+            self.throttle(session)
+        else:
+            self._tell(now, session)
+
+    def _tell(self, now: int, session: Session) -> None:
+        """The decisions take it for a proxy of its own, to which nothing was written yet."""
+        if self.channel.written(now, session.name):
+            # What waits for its name was written before, and leaves by `free_at`.
+            session.anew_until = max(now, math.ceil(self.channel.free_at)) + self.service.message_span
+        self.put("joined", session.number, session.zone, session.rate)
+
+    def spent(self, now: int, name: str, spare: int) -> bool:
+        """Whether all messages that a name may be written in the span are used up, but for some to spare.
+
+        A name that was written none has not joined in a loop, however few it may be written.
+        """
+        written, limit = self.channel.written(now, name), self.service.message_limit
+        return limit > 0 and written > 0 and written >= limit - spare
+
+    def throttle(self, session: Session) -> None:
+        """A name that joins anew too often: its session goes on, and the decisions write to it no more."""
+        session.throttled, self.throttled[session.number] = True, session
+        self.put("left", session.number)
+        self.count("sessions throttled")
+        self.log.info("throttled", proxy=session.name, number=session.number)
+
+    def resume(self, now: int) -> None:
+        """The decisions bind those again whose names may be written a binding and one message more."""
+        for session in [s for s in self.throttled.values() if not self.spent(now, s.name, 1)]:
+            # A whole state that it asked for meanwhile the decisions have not heard of: its next poll asks again.
+            session.throttled = session.resync = False
+            del self.throttled[session.number]
+            self._tell(now, session)
+
     def leave(self, session: Session, why: str) -> None:
         self.sessions.close(session)
+        self.throttled.pop(session.number, None)
         # What left the channel for it will not be acknowledged any more, and takes up no room all the same.
         for message in session.carried:
             self.gone(message)
--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -264,9 +264,7 @@
             session = live.sessions.open(live.clock.now(), token, join.proxy, zone, 0, lambda: None)
         except Full:
             raise Refused(503, f"{self.terms.limits.sessions} proxies are joined, and no more are taken", 2) from None
-        session.released = session.confirmed = live.publication.join(session.number)
-        live.intake.joined(session.number, join.rate)
-        live.put("joined", session.number, zone, join.rate)
+        live.join(session, join.rate)
         self.log.info("proxy joined", proxy=join.proxy, zone=join.zone, number=session.number, rate=join.rate)
         return self._encode(request, pb.Joined(
             session=token, epoch=live.epoch, version=session.released,
@@ -325,6 +323,8 @@
     def _sums(self, request: Request) -> Answer:
         sums, live = self._decode(pb.Sums, request), self.live
         session, now = self._session(sums.session), self.live.clock.now()
+        if session.throttled:  # the decisions would pass over what came to a proxy that they do not know
+            raise Refused(429, "this name has joined anew too often: its sums are taken once it is bound again", 1)
         if sums.number <= session.sums:
             live.count("sums repeated")  # a retry whose first try came through: counted once
             return Answer(204)
--- a/ironfall/director/sessions.py
+++ b/ironfall/director/sessions.py
@@ -28,6 +28,9 @@
     resync: bool = False  # a whole state waits in the channel
     whole_at: int = -1  # from when a whole state may be told, until it is confirmed
     fresh: bool = True  # its first poll has not come
+    rate: float = 0.0  # exchanges a second, as it said when it joined
+    throttled: bool = False  # its name's messages within the span are used up: the decisions do not know it
+    anew_until: int = 0  # until then the decisions may not know all messages to its name within the span
 
 
 class Full(Exception):
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -182,6 +182,218 @@
     assert most_within(written, stepped.terms.service.message_span) <= 12
 
 
+class Written:
+    """Messages by name, as ordered and as they left the channel, whatever sessions they went to."""
+
+    def __init__(self, stepped):
+        self.stepped, self.ordered, self.left = stepped, {}, {}
+        self.channel = stepped.live.channel
+        self.put, self.channel.put = self.channel.put, self._put
+        self.leave, self.channel.leave = self.channel.leave, self._leave
+
+    def _name(self, number):
+        session = self.stepped.live.sessions.by_number.get(number)
+        return session.name if session else ""
+
+    def _put(self, now, message):
+        self.ordered.setdefault(self._name(message.proxy), []).append(now)
+        self.put(now, message)
+
+    def _leave(self, now):
+        left = self.leave(now)
+        for message in left:
+            self.left.setdefault(self._name(message.proxy), []).append(now)
+        return left
+
+    def most(self):
+        span, names = self.stepped.terms.service.message_span, self.ordered.keys() - {""}
+        return {name: max(most_within(times.get(name, []), span) for times in (self.ordered, self.left))
+                for name in names}  # fmt: skip
+
+
+class Changing:
+    """Time goes on while hosts drain and are ready again, one at each change of the list."""
+
+    def __init__(self, stepped, hosts, every):
+        self.stepped, self.hosts, self.every, self.changes, self.steps = stepped, hosts, every, 0, 0
+
+    def run(self, seconds):
+        self.stepped.run(seconds, 0.05, self._step)
+
+    def _step(self):
+        self.steps += 1
+        if self.every and self.steps % round(self.every / 0.05) == 0:
+            self.changes += 1
+            drains = self.changes % self.hosts if self.changes % 2 else -1
+            self.stepped.list([row(n, "draining" if n == drains else "ready") for n in range(self.hosts)])
+
+
+def loop(peer, run):
+    """Join anew until that is too often."""
+    for _ in range(60):
+        run(0.6)
+        peer.join()
+        if peer.stepped.live.throttled:
+            return
+    raise AssertionError("never throttled")
+
+
+@pytest.mark.parametrize("limit", [1, 2, 12, 20])
+@pytest.mark.parametrize("how", ["joins anew", "leaves and joins", "lapses", "all of it"])
+def test_no_way_to_join_in_a_loop_brings_a_name_more_messages_than_one_proxy_may_be_written(how, limit):
+    stepped = Stepped(hosts=12, service={"message_limit": limit}, limits={"lapse": 2_000})
+    written, chance = Written(stepped), random.Random(limit)
+    changing = Changing(stepped, 12, 0.5)
+    peer = stepped.peer("loops")
+    for _ in range(60):
+        changing.run(chance.choice([0.1, 0.5, 0.55, 0.8]))
+        way = chance.choice(["joins anew", "leaves and joins", "lapses"]) if how == "all of it" else how
+        if way == "leaves and joins":
+            assert peer.leave() == 204
+        elif way == "lapses":
+            del stepped.peers["loops"]
+            stepped.run(0.6)
+            assert peer.poll() == 410
+        stepped.peers["loops"] = peer
+        assert peer.join() == 200
+    assert 0 < written.most()["loops"] <= limit
+
+
+def test_a_name_that_joined_in_a_loop_is_bound_again_and_holds_all_that_it_missed():
+    stepped = Stepped(hosts=12)
+    peer, changing = stepped.peer("loops"), Changing(stepped, 12, 0.5)
+    for _ in range(40):
+        changing.run(0.5)
+        peer.join()
+    loop(peer, changing.run)
+    assert peer.poll(whole=1) == 204  # no use: a whole state is a message too
+    changing.run(stepped.terms.service.message_span / 10_000)
+    stepped.list([row(n) for n in range(11)])
+    stepped.run(stepped.terms.service.message_span / 10_000 + 2)
+    live = stepped.live
+    assert not live.throttled and peer.holding.outs == set(live.publication.outs)
+    assert peer.holding.binds.keys() == {0, 1, 2} and peer.holding.tables[0] == live.publication.tables[0]
+    assert name(11) not in peer.holding.lines(0) and peer.whole == 0
+
+
+def test_a_name_that_is_throttled_in_the_middle_of_a_session_goes_on_in_it_and_loses_nothing():
+    # One restart among many changes: its count of before goes on counting.
+    stepped = Stepped(hosts=12, service={"message_limit": 12})
+    written, changing = Written(stepped), Changing(stepped, 12, 0.5)
+    peer = stepped.peer("restarts")
+    stepped.peer("calm")
+    changing.run(20)
+    peer.join()
+    session = peer.joined.session
+    changing.run(20)
+    assert stepped.live.counts["sessions throttled"] >= 1
+    stepped.run(12)
+    live, calm = stepped.live, stepped.peers["calm"].holding
+    assert session in live.sessions.by_token and not live.throttled
+    assert peer.holding.tables == calm.tables == {0: live.publication.tables[0]} and peer.whole == 0
+    assert (peer.holding.outs, peer.holding.admits, peer.holding.sum) == (calm.outs, calm.admits, calm.sum)
+    assert written.most()["restarts"] <= 12
+
+
+@pytest.mark.parametrize("every, restarts", [(0, [1.0] * 8), (1.0, [2.0, 2.0, 2.0]), (0.4, [1.0])])
+def test_a_name_that_restarts_a_few_times_is_bound_within_the_time_for_it(every, restarts):
+    stepped = Stepped(hosts=12)
+    peer, changing = stepped.peer("restarts"), Changing(stepped, 12, every)
+    changing.run(12)
+    for pause in restarts:
+        peer.join()
+        changing.run(pause)
+    bare = stepped.terms.service.bare_time / 10_000
+    changing.run(max(0.0, bare - restarts[-1]))
+    assert len(peer.holding.binds) == 3
+    assert most_within([at for at, to in stepped.left if to >= 0], stepped.terms.service.message_span) <= 20
+    assert every == 0.4 or "sessions throttled" not in stepped.live.counts
+
+
+def test_names_that_join_in_a_loop_do_not_use_up_the_messages_or_the_time_of_others():
+    heard = {}
+    for loops in (0, 8):
+        stepped = Stepped(hosts=12, service={"proxies": 10})
+        written, changing = Written(stepped), Changing(stepped, 12, 0.5)
+        calm, once = stepped.peer("calm"), stepped.peer("once", "hill")
+        looping = [stepped.peer(f"loop{n}", rate=1e6) for n in range(loops)]
+        for n in range(60):
+            changing.run(0.5)
+            for peer in looping:
+                assert peer.join() == 200
+            if n == 30:
+                once.join()
+        heard[loops] = [max(at - ordered for ordered, at, *_ in p.messages) for p in (calm, once)], calm.holding.sum
+        most = written.most()
+        assert max(most.values()) <= stepped.terms.service.message_limit
+        assert not any(s.name in ("calm", "once") for s in stepped.live.throttled.values())
+    assert all(late <= usual + 2_000 for late, usual in zip(heard[8][0], heard[0][0], strict=True)), heard
+
+
+def test_a_throttled_session_that_ends_is_gone():
+    stepped = Stepped(hosts=12, service={"message_limit": 4})
+    peer, changing = stepped.peer("loops"), Changing(stepped, 12, 0.5)
+    loop(peer, changing.run)
+    peer.leave()
+    stepped.run(12)
+    assert not stepped.live.throttled and not stepped.live.decisions.proxies and not stepped.live.publication.views
+
+
+def test_a_whole_state_that_a_throttled_session_asks_for_is_asked_of_the_decisions_again():
+    # They had not heard of it, and it was taken for under way.
+    stepped = Stepped(hosts=12, service={"message_limit": 4})
+    peer = stepped.peer("loops")
+    loop(peer, stepped.run)
+    peer.whole = 1
+    stepped.run(12)
+    assert stepped.live.counts["whole states: asked for"] == 2
+    assert not peer.whole and peer.holding.binds.keys() == {0, 1, 2}
+
+
+def test_what_the_decisions_would_write_to_throttled_sessions_takes_no_room_from_others():
+    stepped = Stepped(hosts=12, service={"message_limit": 12, "queue_limit": 400.0, "proxies": 12})
+    peers, changing = [stepped.peer(f"p{n}") for n in range(10)], Changing(stepped, 12, 0.4)
+    changing.run(12)
+    for peer in peers:
+        peer.join()
+    for _ in range(200):
+        if len(stepped.live.throttled) < 10:
+            changing.run(0.05)
+    assert len(stepped.live.throttled) == 10
+    for _ in range(10):  # as long as they are throttled
+        stepped.list([row(n, "draining" if n == 5 else "ready") for n in range(12)])
+        stepped.run(0.2)
+        stepped.list([row(n) for n in range(12)])
+        stepped.run(0.2)
+    assert stepped.live.decisions.book.waits(stepped.now) < 100
+    late = stepped.peer("late", standing=[name(0)])
+    stepped.run(1.5)
+    assert len(late.holding.binds) == 3
+
+
+def test_the_first_session_of_a_name_is_never_throttled_however_few_messages_it_may_be_written():
+    stepped = Stepped(service={"message_limit": 1, "message_span": 50_000})
+    stepped.peer()
+    stepped.run(30)
+    assert not stepped.live.throttled and "sessions throttled" not in stepped.live.counts
+
+
+def test_sums_of_a_throttled_session_are_put_off_and_none_that_was_taken_is_lost():
+    stepped = Stepped(hosts=12, service={"message_limit": 4})
+    peer, changing = stepped.peer("loops"), Changing(stepped, 12, 0.5)
+    stepped.peer("calm", "hill")
+    loop(peer, changing.run)
+    assert peer.sums(came=[(0, 8, 1)]) == 429
+    for _ in range(200):
+        if stepped.live.throttled:
+            changing.run(0.1)
+    stepped.run(0.1)
+    peer.sent -= 1  # the same again, as it was not taken
+    assert not stepped.live.decisions.grades[0].asked and peer.sums(came=[(0, 8, 1)]) == 204
+    stepped.run(1.5)
+    assert 0.8 < stepped.live.decisions.grades[0].asked <= 1  # 8 over the 8 seconds that are reckoned with
+
+
 def test_sessions_beyond_the_numbers_that_proxies_have_are_refused_at_start():
     text = TERMS.read_text().replace("(listen", "(limits (sessions 70000))\n  (listen")
     with pytest.raises(Unreadable, match="sessions are limited to 70000.*65535"):
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -48,6 +48,32 @@
     assert channel.due() == 10_100  # time that nothing waited is not saved up
 
 
+def test_messages_to_a_name_are_counted_while_they_wait_and_for_a_span_after_they_left():
+    channel = Channel(1_000, 5_000)
+    for number, name in ((0, "a"), (1, "a"), (2, "b")):  # two sessions of one name
+        channel.put(0, Message(number, 1, 10, 0, -1, False, name=name))
+    channel.forget(0)  # it was written all the same
+    assert [channel.written(0, name) for name in "abc"] == [2, 1, 0]
+    channel.leave(100)
+    channel.leave(300)
+    assert [channel.written(5_100, name) for name in "ab"] == [2, 1]
+    assert [channel.written(5_101, name) for name in "ab"] == [1, 1]
+    assert [channel.written(5_301, name) for name in "abc"] == [0, 0, 0]
+    assert not channel.counts and not channel.log
+
+
+def test_names_are_remembered_as_far_as_the_channel_sends_in_a_span_and_no_further():
+    # Names that come once each, without end: whoever is over the limit can't push his own count out by them.
+    channel, most = Channel(1_000, 5_000), 0  # 7 lines a message: 71 leave in a span, 72 with its two ends
+    for now in range(0, 100_000, 10):
+        if channel.backlog < 70:
+            channel.put(now, Message(now, now, 7, now, -1, False, name=f"n{now}" if now % 1_000 else "loops"))
+        channel.leave(now)
+        most = max(most, len(channel.counts))
+        assert channel.written(now, "loops") <= 5 + 1 + 1  # of each second's, and the one that waits
+    assert 60 < most <= 72 + 10 and len(channel.log) <= 72
+
+
 def test_the_intake_loses_and_doubles_nothing_at_its_pace():
     chance, now, handed, sent = random.Random(5), 0, [], 0
     intake = Intake(0, 10_000, 20.0)
