--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -228,6 +228,16 @@
             self.stepped.list([row(n, "draining" if n == drains else "ready") for n in range(self.hosts)])
 
 
+def loop(peer, run):
+    """Join anew until that is too often."""
+    for _ in range(60):
+        run(0.6)
+        peer.join()
+        if peer.stepped.live.throttled:
+            return
+    raise AssertionError("never throttled")
+
+
 @pytest.mark.parametrize("limit", [1, 2, 12, 20])
 @pytest.mark.parametrize("how", ["joins anew", "leaves and joins", "lapses", "all of it"])
 def test_no_way_to_join_in_a_loop_brings_a_name_more_messages_than_one_proxy_may_be_written(how, limit):
@@ -255,9 +265,7 @@
     for _ in range(40):
         changing.run(0.5)
         peer.join()
-    while not stepped.live.throttled:
-        changing.run(0.5)
-        peer.join()
+    loop(peer, changing.run)
     assert peer.poll(whole=1) == 204  # no use: a whole state is a message too
     changing.run(stepped.terms.service.message_span / 10_000)
     stepped.list([row(n) for n in range(11)])
@@ -325,9 +333,7 @@
 def test_a_throttled_session_that_ends_is_gone():
     stepped = Stepped(hosts=12, service={"message_limit": 4})
     peer, changing = stepped.peer("loops"), Changing(stepped, 12, 0.5)
-    while not stepped.live.throttled:
-        changing.run(0.5)
-        peer.join()
+    loop(peer, changing.run)
     peer.leave()
     stepped.run(12)
     assert not stepped.live.throttled and not stepped.live.decisions.proxies and not stepped.live.publication.views
@@ -337,9 +343,7 @@
     # They had not heard of it, and it was taken for under way.
     stepped = Stepped(hosts=12, service={"message_limit": 4})
     peer = stepped.peer("loops")
-    while not stepped.live.throttled:
-        peer.join()
-        stepped.run(0.6)
+    loop(peer, stepped.run)
     peer.whole = 1
     stepped.run(12)
     assert stepped.live.counts["whole states: asked for"] == 2
@@ -352,8 +356,10 @@
     changing.run(12)
     for peer in peers:
         peer.join()
-    while len(stepped.live.throttled) < 10:
-        changing.run(0.05)
+    for _ in range(200):
+        if len(stepped.live.throttled) < 10:
+            changing.run(0.05)
+    assert len(stepped.live.throttled) == 10
     for _ in range(10):  # as long as they are throttled
         stepped.list([row(n, "draining" if n == 5 else "ready") for n in range(12)])
         stepped.run(0.2)
@@ -376,12 +382,11 @@
     stepped = Stepped(hosts=12, service={"message_limit": 4})
     peer, changing = stepped.peer("loops"), Changing(stepped, 12, 0.5)
     stepped.peer("calm", "hill")
-    while not stepped.live.throttled:
-        changing.run(0.5)
-        peer.join()
+    loop(peer, changing.run)
     assert peer.sums(came=[(0, 8, 1)]) == 429
-    while stepped.live.throttled:
-        changing.run(0.1)
+    for _ in range(200):
+        if stepped.live.throttled:
+            changing.run(0.1)
     stepped.run(0.1)
     peer.sent -= 1  # the same again, as it was not taken
     assert not stepped.live.decisions.grades[0].asked and peer.sums(came=[(0, 8, 1)]) == 204
