Refuse terms with observers and a lease that their reports can't keep

Test: a lease of 5.9 s beside observers is a fault with its place, 6 s is none, and without observers nothing changes.

--- a/ironfall/permits/terms.py
+++ b/ironfall/permits/terms.py
@@ -16,6 +16,7 @@
 MILLION = 1_000_000
 SIZES = ("hosts", "directors", "permits", "holders", "asks")  # how many of each are kept
 SNAPSHOT_MOST = 2**30 - 2**20  # bytes: one record on a keeper's disk
+SHORTEST = 6 * SECOND  # a lease beside observers
 # What a budget counts: hosts, or directors, of the whole fleet or of each of their groups.
 SCOPES = ("fleet", "zone", "kind", "tenant", "directors", "directors-zone")
 
@@ -193,6 +194,9 @@
         source.fault(form.lists[largest][0].at, f"a snapshot of so many may be over {SNAPSHOT_MOST} bytes")
     if read["drift"] >= 0.5:
         source.fault(form.lists["drift"][0].at, "clocks that drift by half of the time keep no lease")
+    if observers and 0 < read["lease"] < SHORTEST:
+        # A report comes each 0.9 to 1.1 s, and an observer stands for a third of a lease after the last one.
+        source.fault(form.lists["lease"][0].at, "beside observers a lease is 6s at least: they report each second")
     if read["voices"] == 1:
         source.fault(form.lists["voices"][0].at, "one director's word is one voice: (voices N) is at least 2")
     return FleetTerms(keepers=tuple(keepers), observers=observers, budgets=tuple(budgets), **read)
--- a/tests/test_observers.py
+++ b/tests/test_observers.py
@@ -462,6 +462,10 @@
     fleet, faults = read("""(observer "a" "127.0.0.1:2" (zone "east"))
       (observer "b" "127.0.0.1:3" (zone "east") (room 2048))""")
     assert not faults and [(o.zone, o.room) for o in fleet.observers] == [("east", 16_384), ("east", 2_048)]
+    two = '(observer "a" "127.0.0.1:2" (zone "east")) (observer "b" "127.0.0.1:3" (zone "east"))'
+    assert not read(f"{two} (lease 6s)")[1] and not read("(lease 2s)")[1]
+    (short,) = read(f"{two}\n (lease 5.9s)")[1]
+    assert short.startswith("fleet.sexp:2:2: ") and "beside observers a lease is 6s at least" in short
     _, faults = read("""
  (observer "a" "127.0.0.1:1" (zone "east"))
  (observer "a" "127.0.0.1:3" (zone "north") (room 7))
