--- a/ironfall/observers/collector.py
+++ b/ironfall/observers/collector.py
@@ -386,7 +386,8 @@
         if host is None:
             self.unlisted.add(unit)
             return None
-        n, said = max(one.n, one.changed), one.word
+        # How long nothing came is of one beat, and goes under its number: it may be an older one than the last change.
+        n, said = one.n if one.at >= 0 else max(one.n, one.changed), one.word
         fresh = unit in drains or bool(host.silent) and said["up"] and unit in self.voices
         same = (one.inc, said["up"]) == (host.agent, host.up) and said["token"] <= host.acted
         if (one.inc, n) <= (host.agent, host.number) or same and not fresh:
