Settle the transcript of a lost disk once all keepers know the new member

Cause: the leader shows members as it has written them down, so that the transcript was settled before their offer was heard.

--- a/tests/test_transcripts.py
+++ b/tests/test_transcripts.py
@@ -149,6 +149,8 @@
     told.came(lost, "operator takes C in")
     assert operator.replace(lost).done
     until(lambda: it.here(lost).get("identity") in it.voters())
+    # The leader goes by members that it has only written down: what it offers of them must have been heard here too.
+    until(lambda: all(it.here(lost)["identity"] in it.here(name)["members"][0] for name in it.names))
     it.settle()
     told.killed(other, "B is killed")
     it.kill(other)
