Let hollow members before observers share the processes of those before keepers

The two ways to start, ask and end hollow processes were the same 28 lines twice. A look at each after it: join-storm at 50 members, observed-storm at 125, both play to their end.

--- a/benchmarks/scale/_hollow.py
+++ b/benchmarks/scale/_hollow.py
@@ -199,16 +199,13 @@
             print(json.dumps(tally.told()), flush=True)
 
 
-class Hollow:
-    """Processes of such members, and what they tell; ended with the block."""
+class Processes:
+    """Processes of hollow members, one for each list of arguments, and what they tell; ended with the block."""
 
-    def __init__(self, role, terms, count, seed):
-        command = [sys.executable, "-m", "benchmarks.scale._hollow", role, str(terms)]
-        parts = range(0, count, SHARED)
-        self.processes = [
-            subprocess.Popen([*command, str(first), str(min(SHARED, count - first)), str(seed)], cwd=ROOT,
-                             stdin=subprocess.PIPE, stdout=subprocess.PIPE) for first in parts
-        ]  # fmt: skip
+    def __init__(self, module, arguments):
+        command = [sys.executable, "-m", module]
+        self.processes = [subprocess.Popen([*command, *map(str, part)], cwd=ROOT, stdin=subprocess.PIPE,
+                                           stdout=subprocess.PIPE) for part in arguments]  # fmt: skip
 
     def __enter__(self):
         for one in self.processes:
@@ -238,6 +235,12 @@
         return [json.loads(one.stdout.readline()) for one in self.processes]
 
 
+class Hollow(Processes):
+    def __init__(self, role, terms, count, seed):
+        super().__init__("benchmarks.scale._hollow", [
+            (role, terms, first, min(SHARED, count - first), seed) for first in range(0, count, SHARED)])  # fmt: skip
+
+
 def used(process):
     """Seconds of processor time that a process took so far."""
     fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
--- a/benchmarks/scale/_observed.py
+++ b/benchmarks/scale/_observed.py
@@ -14,7 +14,6 @@
 import os
 import random
 import resource
-import subprocess
 import sys
 import time
 import urllib.request
@@ -25,13 +24,13 @@
 from gevent.fileobject import FileObject
 
 from benchmarks.keepers import hosts
-from benchmarks.scale._hollow import Counted, CountedClient, Tally, live
+from benchmarks.scale._hollow import Counted, CountedClient, Processes, Tally, live
 from ironfall.director.member import Member
 from ironfall.lab import history
 from ironfall.observer import client as observer_client
 from ironfall.observer.client import Heartbeats, Unheard
 from ironfall.terms import read_terms
-from tests.keepers import ROOT, until
+from tests.keepers import until
 from tests.observed import Observed
 
 DIRECTORS = 8  # one of so many members
@@ -126,41 +125,11 @@
             }), flush=True)  # fmt: skip
 
 
-class Hollow:
-    """Processes of such members, and what they tell; ended with the block."""
-
+class Hollow(Processes):
     def __init__(self, terms, count, seed, together=1):
-        command = [sys.executable, "-m", "benchmarks.scale._observed", str(terms)]
-        parts = [map(str, (first, min(SHARED, count - first), seed, together)) for first in range(0, count, SHARED)]
-        self.processes = [subprocess.Popen([*command, *part], cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
-                          for part in parts]  # fmt: skip
-
-    def __enter__(self):
-        for one in self.processes:
-            if one.stdout.readline().strip() != b"ready":
-                self.__exit__()
-                raise OSError("a hollow process did not come up")
-        return self
-
-    def __exit__(self, *_):
-        for one in self.processes:
-            one.stdin.close()
-        for one in self.processes:
-            try:
-                one.wait(5.0)
-            except subprocess.TimeoutExpired:
-                one.kill()
-                one.wait()
-            one.stdout.close()
-
-    def say(self, what):
-        for one in self.processes:
-            one.stdin.write(what + b"\n")
-            one.stdin.flush()
-
-    def told(self):
-        self.say(b"tell")
-        return [json.loads(one.stdout.readline()) for one in self.processes]
+        super().__init__("benchmarks.scale._observed", [
+            (terms, first, min(SHARED, count - first), seed, together) for first in range(0, count, SHARED)
+        ])  # fmt: skip
 
 
 class Beside(Observed):
