--- a/benchmarks/scale/_observed.py
+++ b/benchmarks/scale/_observed.py
@@ -24,7 +24,7 @@
 from gevent.fileobject import FileObject
 
 from benchmarks.keepers import hosts
-from benchmarks.scale._hollow import Counted, CountedClient, Processes, Tally, live
+from benchmarks.scale._hollow import Counted, CountedClient, Processes, Tally, live, used
 from ironfall.director.member import Member
 from ironfall.lab import history
 from ironfall.observer import client as observer_client
@@ -158,12 +158,6 @@
                 and all(one["whole"] for one in shown.values()))  # fmt: skip
 
 
-def used(process):
-    """Seconds of processor time that a process took so far."""
-    fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / STEP
-
-
 def resident_mb(process):
     status = Path(f"/proc/{process.pid}/status").read_text()
     return int(status.partition("VmRSS:")[2].split()[0]) / 1024
--- a/benchmarks/scale/host_death.py
+++ b/benchmarks/scale/host_death.py
@@ -28,6 +28,23 @@
     return 250 + size * 0.5 + 40 * size / SHARED
 
 
+def deaths(group, hollow, chance):
+    """Milliseconds from each host's death until the leader's ledger has it out."""
+    leader, took = group.leader(), []
+
+    def out():
+        gevent.sleep(LOOKS)
+        return group.here(leader).get("ledger", {}).get("scopes", {}).get("fleet", (0, 0))[1]
+
+    for n in range(DEATHS):
+        gevent.sleep(CALM * (0.5 + chance.random()))
+        began = time.monotonic()
+        hollow.say(b"silent")
+        until(lambda n=n: out() > n)
+        took.append(1e3 * (time.monotonic() - began))
+    return took
+
+
 def play(size, chance):
     with (tempfile.TemporaryDirectory() as folder, Group(Path(folder) / "group") as group,
           Hollow("member", group.file, size, chance.getrandbits(20)) as hollow):  # fmt: skip
@@ -35,16 +52,5 @@
         assert heard.done, heard
         hollow.say(b"go")
         gevent.sleep(WARM)
-        leader, took = group.leader(), []
-
-        def out():
-            gevent.sleep(LOOKS)
-            return group.here(leader).get("ledger", {}).get("scopes", {}).get("fleet", (0, 0))[1]
-
-        for n in range(DEATHS):
-            gevent.sleep(CALM * (0.5 + chance.random()))
-            began = time.monotonic()
-            hollow.say(b"silent")
-            until(lambda n=n: out() > n)
-            took.append(1e3 * (time.monotonic() - began))
+        took = deaths(group, hollow, chance)
     return {"known_ms": statistics.median(took), "longest_ms": max(took)}
--- a/benchmarks/scale/observed_death.py
+++ b/benchmarks/scale/observed_death.py
@@ -4,11 +4,8 @@
 
 import statistics
 import tempfile
-import time
 from pathlib import Path
 
-import gevent
-
 from benchmarks.scale import host_death
 from benchmarks.scale._observed import SHARED, Beside, Hollow
 from tests.keepers import until
@@ -31,18 +28,7 @@
         group.listed(size)
         hollow.say(b"go")
         until(lambda: group.all_known(size), 60)
-        leader, took = group.leader(), []
-
-        def out():
-            gevent.sleep(LOOKS)
-            return group.here(leader).get("ledger", {}).get("scopes", {}).get("fleet", (0, 0))[1]
-
-        for n in range(DEATHS):
-            gevent.sleep(CALM * (0.5 + chance.random()))
-            began = time.monotonic()
-            hollow.say(b"silent")
-            until(lambda n=n: out() > n)
-            took.append(1e3 * (time.monotonic() - began))
+        took = host_death.deaths(group, hollow, chance)
     before = host_death.play(size // 8, chance)
     return {"known_ms": statistics.median(took), "longest_ms": max(took), "before_ms": before["known_ms"],
             "before_longest_ms": before["longest_ms"]}  # fmt: skip
