--- a/review/build.sh
+++ b/review/build.sh
@@ -6,5 +6,5 @@
 .venv/bin/python -m compileall -q review
 PYTHONPATH=$PWD .venv/bin/python -c '
 import ironfall.cli, ironfall.coordinator.client, ironfall.disruption, ironfall.lab.agents
-import review.standins.keepers
+import review.standins.deployment, review.standins.keepers
 '
