--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -1,4 +1,4 @@
-"""A small deployment: hosts in three zones, their registry, and a director."""
+"""A small deployment: hosts in three zones, their registry, a director and proxies."""
 
 import asyncio
 import json
@@ -6,6 +6,7 @@
 import time
 from dataclasses import dataclass, field
 
+from review.standins.clients import Client, Mix
 from review.standins.hosts import Host
 from review.standins.processes import ROOT, CaseNotRunError, Processes, free_port
 from review.standins.record import Record
@@ -47,6 +48,7 @@
         processes: The project's programs.
         registry: The list of hosts.
         hosts: By name.
+        clients: One for each proxy.
         director_address: Where the director listens.
     """
 
@@ -54,6 +56,7 @@
     processes: Processes
     registry: Registry = field(init=False)
     hosts: dict[str, Host] = field(default_factory=dict)
+    clients: list[Client] = field(default_factory=list)
     director_address: tuple[str, int] = ("", 0)
 
     def __post_init__(self) -> None:
@@ -115,8 +118,37 @@
             await asyncio.sleep(POLL_S)
         return False
 
+    async def start_proxies(self, count: int, mix: Mix) -> None:
+        """Starts proxies of all zones in one process, and connects a client to each."""
+        words = [f"proxy {self.terms}"]
+        addresses = []
+        for number in range(1, count + 1):
+            ip = f"{NETWORK}.2.{number}"
+            addresses.append((ip, free_port(ip)))
+            zone = ZONES[number % len(ZONES)]
+            words.append(f"--as p{number},{zone},{mix.rate:g},{ip}:{addresses[-1][1]}")
+        self.processes.start("proxies", f"{IRONFALL} {' '.join(words)}")
+        for number, address in enumerate(addresses, 1):
+            client = Client(f"c{number}", mix, self.record, seed=number)
+            await self._connect(client, address)
+            self.clients.append(client)
+
+    async def _connect(self, client: Client, address: tuple[str, int]) -> None:
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + READY_TIMEOUT_S
+        while loop.time() < ends:
+            try:
+                await client.connect(address)
+            except OSError:
+                await asyncio.sleep(POLL_S)
+            else:
+                return
+        raise CaseNotRunError("the proxies did not come up: " + self.processes.log("proxies"))
+
     async def close(self) -> None:
         """Ends everything."""
+        for client in self.clients:
+            client.close()
         for host in self.hosts.values():
             await host.stop()
         self.processes.close()
