--- a/review/standins/ways.py
+++ b/review/standins/ways.py
@@ -32,6 +32,12 @@
         for sock in list(self._open):
             sock.close()
 
+    def lead_to(self, to: tuple[str, int]) -> None:
+        """Leads to another address from now on; closes all connections."""
+        self._to = to
+        for sock in list(self._open):
+            sock.close()
+
     def stop(self) -> None:
         """Stops listening."""
         self._server.stop(0)
