--- a/review/standins2/platform.py
+++ b/review/standins2/platform.py
@@ -56,21 +56,26 @@
 
     def set(self, host: str, zone: str, phase: str) -> None:
         """Changes the phase of a host."""
+        self.set_many([host], zone, phase)
+
+    def set_many(self, hosts: list[str], zone: str, phase: str) -> None:
+        """Changes the phase of hosts in one revision."""
         with self.condition:
             self.revision += 1
-            self.rows[host] = {
-                "id": host,
-                "host_port": "127.0.0.1:9",
-                "locality": zone,
-                "flavor": "m",
-                "cell": 0,
-                "phase": phase,
-                "size": 1.0,
-                "up_since_ms": self.up_since_ms.get(host, 0),
-            }
-            self.changed_at[host] = self.revision
+            for host in hosts:
+                self.rows[host] = {
+                    "id": host,
+                    "host_port": "127.0.0.1:9",
+                    "locality": zone,
+                    "flavor": "m",
+                    "cell": 0,
+                    "phase": phase,
+                    "size": 1.0,
+                    "up_since_ms": self.up_since_ms.get(host, 0),
+                }
+                self.changed_at[host] = self.revision
             self.condition.notify_all()
-        self.record("discovery", revision=self.revision, host=host, phase=phase)
+        self.record("discovery", revision=self.revision, host="+".join(hosts), phase=phase)
 
     def answer(self, handler: BaseHTTPRequestHandler) -> None:
         """Answers one request."""
