--- a/review/10/case.py
+++ b/review/10/case.py
@@ -53,8 +53,7 @@
         )
         self.sock.sendall(f"{line}\r\n".encode())
         self.reports += 1
-        if latency != SOUND_MS:
-            self.record("spoilt report", line=repr(line))
+        self.record("report" if latency == SOUND_MS else "spoilt report", line=repr(line))
 
 
 def play(record: Record, processes: Processes, trouble: bool) -> str:
--- a/review/standins2/channel.py
+++ b/review/standins2/channel.py
@@ -80,9 +80,8 @@
                 total += cost
             self.waiting += total
             self.most = max(self.most, self.waiting)
-            if costs:
-                waiting = round(self.waiting)
-                self.record("call", orders=done, mark=nonce, lines=total, waiting=waiting)
+            waiting, orders = round(self.waiting), json.dumps(call["params"]["orders"])
+            self.record("call", taken=done, lines=total, waiting=waiting, orders=orders)
             if self.spoil_calls_over and total > self.spoil_calls_over and not self.spoilt:
                 self.spoilt += 1
                 self.record("answer spoilt", mark=nonce)
--- a/review/standins2/platform.py
+++ b/review/standins2/platform.py
@@ -96,6 +96,9 @@
             handler.wfile.flush()
         except OSError:
             return
+        if rows:
+            told = " ".join(f"{row['id']}:{row['phase']}" for row in rows)
+            self.record("list told", after=after, revision=answer["revision"], rows=told)
         self.told += [(now(), row["id"], row["phase"]) for row in rows]
 
     def told_at(self, host: str, phase: str) -> float | None:
@@ -249,6 +252,8 @@
             sock.sendall(json.dumps({"jsonrpc": "2.0", **message}).encode() + b"\n")
 
     def _tell(self, method: str, **params: Any) -> None:
+        heard = sum(sock not in self.silent for sock in self.feeds)
+        self.record("news", method=method, feeds=heard, params=json.dumps(params))
         for sock in self.feeds:
             self._send(sock, {"method": method, "params": params})
 
@@ -264,9 +269,7 @@
                 if not self._order(order, reached):
                     break
                 done += 1
-            shown = [order for order in orders if order["verb"] in ("USE", "OUT", "IN")]
-            if shown:
-                self.record("orders", taken=done, of=len(orders), some=json.dumps(shown))
+            self.record("call", taken=done, of=len(orders), orders=json.dumps(orders))
             self._send(sock, {"id": call["id"], "result": {"ok_count": done}})
 
     def _order(self, order: dict[str, Any], reached: set[int]) -> bool:
--- a/review/standins2/service.py
+++ b/review/standins2/service.py
@@ -115,6 +115,8 @@
         except OSError:
             return
         who = query.get("who", "")
+        rows_told = " ".join(f"{r['name']}:{r['state']}:{r.get('incarnation', '')}" for r in rows)
+        self.record("list told", to=who, after=after, version=version, rows=rows_told)
         for row in rows:
             entry = (now(), row["name"], row["state"], row.get("incarnation", ""))
             self.told.setdefault(who, []).append(entry)
@@ -207,7 +209,8 @@
     """Sends exchanges of one class to a proxy at a steady rate and counts the answers."""
 
     def __init__(self, port: int, rate: float, first_token: int) -> None:
-        self.port, self.rate, self.token = port, rate, first_token
+        self.port, self.rate = port, rate
+        self.token = self.first_token = first_token
         self.sent = 0
         self.outcomes: dict[int, int] = {}
         self.answers: list[tuple[float, int, str]] = []
