Count a reported latency below a tick as unknown, and keep means among their samples

Cause: a host's own latency counted as known from anything above 0 on (measurements.py, _add_successes), and DecayedMean.add moved a value without mass by the difference to the sample, 315 + (tiny - 315), which rounding makes 0. WeightLearner._update_weights divides by it. The same lines are reached without a restart: by a new host, and by a host whose old mass is lost beside the new after half an hour of silence. Figures from 1e-9 to 0.04 ms do not round to 0; there the director lived on and took the weights of all other hosts down.

Checked: every division of the decisions was listed and read.

Change: below one tick, the resolution of reported latencies, the host's figure is unknown and the proxies' latency stands in. A mean without mass takes its first sample as it is, and none leaves the range of its samples.

--- a/ironfall/decisions/measurements.py
+++ b/ironfall/decisions/measurements.py
@@ -15,6 +15,8 @@
 # Evidence decays over at least this many report intervals.
 EVIDENCE_REPORT_INTERVALS = 2.0
 TICKS_PER_MS = 10
+# The resolution of reported latencies: a shorter one is as good as unknown.
+MIN_LATENCY_TICKS = 1
 # Attempts may have been made up to this long before the period that their report covers.
 REPORT_DELAY_ALLOWANCE = SECOND
 # If a zone serves at least this share of its requests in time, a failed health check is the fault
@@ -70,7 +72,7 @@
             path.unanswered_attempts.clear()
         else:
             path.unanswered_attempts[host.id] += report.attempts
-        if successes > 0 and report.latency > 0:
+        if successes > 0 and report.latency >= MIN_LATENCY_TICKS:
             _add_successes(now, host, path, successes, report)
 
     def on_request_report(
@@ -168,7 +170,13 @@
     host.successes_per_second += successes * SECOND / RATE_DECAY_TIME
     host.recent_latency.add(report.latency, successes)
     path.latency.add(report.latency, successes)
+    latency = _latency_without_network(report)
     # Slow responses get less weight: under overload they show queueing, which isn't wanted here.
-    latency = report.gauges.get(LATENCY_MS, 0.0) * TICKS_PER_MS or report.latency
     confidence = min(1.0, host.latency.value / latency) if host.latency.mass else 1.0
     host.latency.add(latency, successes * confidence * confidence)
+
+
+def _latency_without_network(report: UpstreamReport) -> float:
+    """Returns the latency that the host measured, or the proxies' if the host's is unknown."""
+    latency = report.gauges.get(LATENCY_MS, 0.0) * TICKS_PER_MS
+    return latency if latency >= MIN_LATENCY_TICKS else report.latency
--- a/ironfall/decisions/records.py
+++ b/ironfall/decisions/records.py
@@ -23,15 +23,26 @@
 
 @dataclass(slots=True)
 class DecayedMean:
-    """A weighted mean. Callers decay its mass, so that older samples have less weight."""
+    """A weighted mean. Callers decay its mass, so that older samples have less weight.
+
+    It is never outside the range of the samples added since its mass was last 0.
+    """
 
     value: float = 0.0
     mass: float = 0.0
 
     def add(self, value: float, mass: float) -> None:
         """Adds samples with the given mean value and total mass."""
+        if mass <= 0:
+            return
+        if self.mass <= 0:
+            # A mean without mass has no value, whatever it was before.
+            self.value = value
+        low, high = min(self.value, value), max(self.value, value)
         self.mass += mass
-        self.value += (value - self.value) * mass / (self.mass or 1.0)
+        mean = self.value + (value - self.value) * mass / self.mass
+        # Where the old mass is negligible, rounding may move the mean beyond the new samples.
+        self.value = min(high, max(low, mean))
 
     def success_rate(self) -> float:
         """Returns the success rate of a mean of failures; with few samples it is close to 1."""
