Take the units of the clock from one module in the platform, the director and the adapter

Need: ticks per millisecond and per second stood in eleven modules of the decisions, the director, the platform and the simulator's adapter, and one module passed another's constant on by a re-export that needed a comment.

Change: decisions/time_units.py has SECOND, TICKS_PER_MS and MICROSECONDS_PER_TICK, and these modules import it from there. ProxyStreams._is_new, which also records the event, is _record_event. No value changes. Left: proxy, metrics, rollout, lab, consensus, coordinator and disruption, some of which may not import the decisions.

--- a/ironfall/decisions/measurements.py
+++ b/ironfall/decisions/measurements.py
@@ -7,14 +7,13 @@
 from ironfall.decisions.load_estimate import LoadEstimate
 from ironfall.decisions.records import LATENCY_MS, QUEUE_LENGTH, DecayedMean, Gauges, Host, ZonePath
 from ironfall.decisions.report_clock import ReportClock
-from ironfall.decisions.time_units import SECOND, UPDATE_INTERVAL
+from ironfall.decisions.time_units import SECOND, TICKS_PER_MS, UPDATE_INTERVAL
 
 # Time constants of the decay of latency without queueing, and of request rates.
 LATENCY_DECAY_TIME = 30 * SECOND
 RATE_DECAY_TIME = 8 * SECOND
 # Evidence decays over at least this many report intervals.
 EVIDENCE_REPORT_INTERVALS = 2.0
-TICKS_PER_MS = 10
 # The resolution of reported latencies: a shorter one is as good as unknown.
 MIN_LATENCY_TICKS = 1
 # Attempts may have been made up to this long before the period that their report covers.
--- a/ironfall/director/channel.py
+++ b/ironfall/director/channel.py
@@ -3,7 +3,7 @@
 from collections import Counter, deque
 from dataclasses import dataclass
 
-from ironfall.director.clock import SECOND
+from ironfall.decisions.time_units import SECOND
 
 NO_CONFIRMATION = -1
 """Stands for a version: the decision engine asked for no confirmation of the message."""
--- a/ironfall/director/clock.py
+++ b/ironfall/director/clock.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Callable
 
-SECOND = 10_000
-"""Ticks per second. The director and the decision engine count time in ticks of 0.1 ms."""
+from ironfall.decisions.time_units import SECOND
 
 STALL_TICKS = SECOND
 """A longer gap between two readings is a stall: the event loop reads the clock every 0.1 s."""
--- a/ironfall/director/event_loop.py
+++ b/ironfall/director/event_loop.py
@@ -20,7 +20,7 @@
 
 from ironfall.decisions.events import EventKind
 from ironfall.decisions.interface import OrderSink, ServiceSettings
-from ironfall.director.clock import SECOND as SECOND  # `ironfall.platform` imports it from here.
+from ironfall.decisions.time_units import MICROSECONDS_PER_TICK, SECOND
 from ironfall.director.clock import Clock
 from ironfall.director.recorded_batches import (
     Decide,
@@ -41,7 +41,6 @@
 
 MIN_WAIT_SECONDS = 0.0005
 FULL_QUEUE_RETRY_SECONDS = 0.05
-MICROSECONDS_PER_TICK = 100
 MAX_RECORDED_MICROSECONDS = 60_000_000
 HISTOGRAM_DIGITS = 3
 
--- a/ironfall/director/explain.py
+++ b/ironfall/director/explain.py
@@ -8,9 +8,8 @@
 
 from ironfall.decisions.engine import DecisionEngine
 from ironfall.decisions.records import Host
+from ironfall.decisions.time_units import SECOND, TICKS_PER_MS
 
-TICKS_PER_MS = 10
-TICKS_PER_SECOND = 10_000
 # A withdrawal within this time after the start of a slow start is caused by the restart.
 RECENT_RESTART_TICKS = 1_000
 
@@ -21,7 +20,7 @@
     if record is None:
         return {}
     latency_ms = record.recent_latency.value / TICKS_PER_MS
-    retry_seconds = max(0, record.retry_at - now) / TICKS_PER_SECOND
+    retry_seconds = max(0, record.retry_at - now) / SECOND
     return {
         "cause": _withdrawal_cause(record, now),
         "failing": [round(rate.value, 3) for rate in record.failure_rates],
--- a/ironfall/director/fleet_member.py
+++ b/ironfall/director/fleet_member.py
@@ -11,8 +11,8 @@
 import gevent
 
 from ironfall.coordinator.client import CoordinatorClient
+from ironfall.decisions.time_units import SECOND
 from ironfall.director import explain
-from ironfall.director.clock import SECOND
 from ironfall.director.fleet_lease import (
     DirectorIdentity,
     FleetLease,
--- a/ironfall/director/health_checks.py
+++ b/ironfall/director/health_checks.py
@@ -6,7 +6,7 @@
 
 from ironfall.api.exchange import Link, address_of, read_gauges
 from ironfall.decisions.events import EventKind
-from ironfall.director.clock import SECOND
+from ironfall.decisions.time_units import SECOND
 from ironfall.director.long_poll_director import LongPollDirector
 from ironfall.generated import ironfall_pb2 as pb
 
--- a/ironfall/director/host_list.py
+++ b/ironfall/director/host_list.py
@@ -14,6 +14,7 @@
 from ironfall.api.exchange import address_of
 from ironfall.api.registry import BadList
 from ironfall.decisions.interface import ListedHost
+from ironfall.decisions.time_units import TICKS_PER_MS
 
 MAX_REMEMBERED_STARTS = 16
 """Number of incarnations of one host whose start times are kept."""
@@ -22,7 +23,6 @@
 UNKNOWN_AGE_MS = 1e12
 """Assumed for a row without an age: the host started long ago."""
 
-TICKS_PER_MS = 10
 RESERVED_IDS = 1 << 40
 """Number of ids within 0.0.0.0/8, which is no host's address."""
 
--- a/ironfall/director/http_handlers.py
+++ b/ironfall/director/http_handlers.py
@@ -13,7 +13,7 @@
 from ironfall.api import codec
 from ironfall.api.exchange import read_gauges
 from ironfall.api.http import Answer, Gone, Refused, Request
-from ironfall.director.clock import SECOND
+from ironfall.decisions.time_units import MICROSECONDS_PER_TICK, SECOND, TICKS_PER_MS
 from ironfall.director.fleet_member import FleetMember
 from ironfall.director.long_poll_director import LongPollDirector
 from ironfall.director.report_aggregation import MAX_REPORTED_REQUESTS, ZoneHost, is_plausible
@@ -30,8 +30,6 @@
 
 MAX_NAME_LENGTH = 200
 MAX_REQUEST_RATE = 1e9
-TICKS_PER_MS = 10
-MICROSECONDS_PER_TICK = 100
 MIN_COVERED_TICKS = 10
 MAX_COVERED_TICKS = 60 * SECOND
 POLL_JITTER = 0.2
--- a/ironfall/director/long_poll_director.py
+++ b/ironfall/director/long_poll_director.py
@@ -7,9 +7,10 @@
 from hdrh.histogram import HdrHistogram
 
 from ironfall.decisions.events import EventKind
+from ironfall.decisions.time_units import MICROSECONDS_PER_TICK
 from ironfall.director.channel import Channel, Message
 from ironfall.director.clock import Clock
-from ironfall.director.event_loop import HISTOGRAM_DIGITS, MICROSECONDS_PER_TICK, EventLoop
+from ironfall.director.event_loop import HISTOGRAM_DIGITS, EventLoop
 from ironfall.director.host_list import HostList
 from ironfall.director.long_poll_sink import LongPollSink
 from ironfall.director.recorded_batches import Decide
--- a/ironfall/director/long_poll_sink.py
+++ b/ironfall/director/long_poll_sink.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from ironfall.decisions.time_units import SECOND
 from ironfall.director import explain
 from ironfall.director.channel import NO_CONFIRMATION, Message
-from ironfall.director.clock import SECOND
 from ironfall.director.event_loop import MAX_WAIT_SECONDS
 
 if TYPE_CHECKING:
--- a/ironfall/director/program.py
+++ b/ironfall/director/program.py
@@ -15,7 +15,8 @@
 from ironfall.api.http import Bounds, HttpServer
 from ironfall.coordinator.client import CoordinatorClient
 from ironfall.decisions.engine import DecisionEngine
-from ironfall.director.clock import SECOND, Clock
+from ironfall.decisions.time_units import SECOND
+from ironfall.director.clock import Clock
 from ironfall.director.fleet_lease import DirectorIdentity, LeaseSettings
 from ironfall.director.fleet_member import CoordinatorLedger, FleetMember, LedgerClient
 from ironfall.director.health_checks import HealthChecks
--- a/ironfall/director/report_aggregation.py
+++ b/ironfall/director/report_aggregation.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from ironfall.decisions.events import EventKind
-from ironfall.director.clock import SECOND
+from ironfall.decisions.time_units import SECOND
 from ironfall.director.recorded_batches import RecordedCall
 from ironfall.director.report_weighting import (
     DownstreamReport,
--- a/ironfall/director/sessions.py
+++ b/ironfall/director/sessions.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from ironfall.decisions.time_units import SECOND
 from ironfall.director.channel import Message
-from ironfall.director.clock import SECOND
 from ironfall.errors import IronfallError
 from ironfall.publication import Delta, Publication
 from ironfall.terms import NUMBERS
--- a/ironfall/platform/director.py
+++ b/ironfall/platform/director.py
@@ -8,9 +8,10 @@
 from gevent.event import Event
 
 from ironfall.decisions.engine import DecisionEngine
+from ironfall.decisions.time_units import SECOND, TICKS_PER_MS
 from ironfall.director.clock import Clock
-from ironfall.director.event_loop import SECOND, EventLoop
-from ironfall.platform.drain_metrics import TICKS_PER_MS, DrainMetrics
+from ironfall.director.event_loop import EventLoop
+from ironfall.platform.drain_metrics import DrainMetrics
 from ironfall.platform.host_list import HostList, HostListError, HostListUpdate
 from ironfall.platform.list_watch import HostListWatch
 from ironfall.platform.log import EventLog
--- a/ironfall/platform/drain_metrics.py
+++ b/ironfall/platform/drain_metrics.py
@@ -9,8 +9,7 @@
 from dataclasses import dataclass
 
 from ironfall.decisions.engine import DecisionEngine
-
-TICKS_PER_MS = 10
+from ironfall.decisions.time_units import TICKS_PER_MS
 
 
 @dataclass(slots=True)
--- a/ironfall/platform/host_list.py
+++ b/ironfall/platform/host_list.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple
 
 from ironfall.decisions.interface import ListedHost
+from ironfall.decisions.time_units import TICKS_PER_MS
 from ironfall.errors import IronfallError
 
 PHASE_LEFT = "left"
@@ -16,7 +17,6 @@
 MAX_HOST_NAME_LENGTH = 200
 MAX_UP_SINCE_MS = 1e15
 MAX_SIZE = 1e6
-TICKS_PER_MS = 10
 
 
 class HostListError(IronfallError):
--- a/ironfall/platform/message_parser.py
+++ b/ironfall/platform/message_parser.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from ironfall.decisions.time_units import TICKS_PER_MS
 from ironfall.errors import IronfallError
 
 MAX_LINE_BYTES = 1 << 20
@@ -20,7 +21,6 @@
 MAX_GAUGE_VALUE = 1e9
 MAX_HOST_NAME_LENGTH = 200
 MAX_QUOTED_LENGTH = 40  # characters of a peer's text in an error message
-TICKS_PER_MS = 10
 
 # The settings' column names by the platform's equivalent gauge names.
 GAUGE_COLUMNS = {
--- a/ironfall/platform/proxy_feed.py
+++ b/ironfall/platform/proxy_feed.py
@@ -3,13 +3,14 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-TICKS_PER_SECOND = 10_000
+from ironfall.decisions.time_units import SECOND
+
 # The relay sends a ping each second.
-MAX_IDLE_TICKS = TICKS_PER_SECOND * 3 // 2
+MAX_IDLE_TICKS = SECOND * 3 // 2
 # A feed that delivers anything this long after another's snapshot has continued up to it.
-MAX_SNAPSHOT_LAG_TICKS = TICKS_PER_SECOND // 4
+MAX_SNAPSHOT_LAG_TICKS = SECOND // 4
 # An event that one feed has delivered is delivered by each other feed within this time, or never.
-MAX_EVENT_LAG_TICKS = TICKS_PER_SECOND * 3
+MAX_EVENT_LAG_TICKS = SECOND * 3
 
 
 class ProxyState(NamedTuple):
--- a/ironfall/platform/proxy_streams.py
+++ b/ironfall/platform/proxy_streams.py
@@ -251,7 +251,7 @@
         return True
 
     def _deliver_attach(self, feed: Feed, proxy: int, number: int, state: ProxyState) -> None:
-        if not self._is_new(feed, proxy, number):
+        if not self._record_event(feed, proxy, number):
             return
         if proxy in self.attached:
             self._detach(proxy)
@@ -259,10 +259,10 @@
         self._listener.on_proxy_joined(proxy, state.zone, state.request_rate)
 
     def _deliver_detach(self, feed: Feed, proxy: int, number: int) -> None:
-        if self._is_new(feed, proxy, number) and proxy in self.attached:
+        if self._record_event(feed, proxy, number) and proxy in self.attached:
             self._detach(proxy)
 
-    def _is_new(self, feed: Feed, proxy: int, number: int) -> bool:
+    def _record_event(self, feed: Feed, proxy: int, number: int) -> bool:
         """Records an event of a feed; returns whether it is the first feed to deliver it."""
         feed.event_counts[proxy] = number
         if number <= self._event_counts.get(proxy, 0):
--- a/ironfall/platform/status_log.py
+++ b/ironfall/platform/status_log.py
@@ -3,8 +3,9 @@
 from dataclasses import dataclass
 
 from ironfall.decisions.interface import ServiceSettings
+from ironfall.decisions.time_units import SECOND, TICKS_PER_MS
 from ironfall.director import explain
-from ironfall.director.event_loop import SECOND, EventLoop
+from ironfall.director.event_loop import EventLoop
 from ironfall.platform.drain_metrics import DrainMetrics
 from ironfall.platform.host_list import HostList
 from ironfall.platform.log import EventLog
@@ -13,7 +14,6 @@
 from ironfall.platform.relay_client import RelayClient
 
 SUMMARY_INTERVAL = 10 * SECOND  # ticks
-TICKS_PER_MS = 10
 MS_PER_SECOND = 1000
 MICROSECONDS_PER_MS = 1000
 TAIL_PERCENTILE = 99
--- a/ironfall/platform_settings.py
+++ b/ironfall/platform_settings.py
@@ -7,10 +7,10 @@
 from typing import Any
 
 from ironfall.decisions.interface import RequestClass, ServiceSettings
+from ironfall.decisions.time_units import TICKS_PER_MS
 
 JsonObject = dict[str, Any]
 
-TICKS_PER_MS = 10
 # Defaults of optional keys.
 DEFAULT_DRAIN_GRACE_MS = 1000
 DEFAULT_UNASSIGNED_LIMIT_MS = 1000
--- a/ironfall/simulator_adapter/orders.py
+++ b/ironfall/simulator_adapter/orders.py
@@ -3,7 +3,7 @@
 import struct
 from typing import Any
 
-from ironfall.platform_settings import TICKS_PER_MS
+from ironfall.decisions.time_units import TICKS_PER_MS
 from ironfall.simulator_adapter.frames import (
     ALL_PROXIES,
     ORDER_RECORD_BYTES,
