--- a/ironfall/platform/proxy_feed.py
+++ b/ironfall/platform/proxy_feed.py
@@ -56,6 +56,11 @@
         snapshot_proxies: The proxies in the snapshot so far.
         event_counts: Number of events that it has delivered, by proxy.
         unverified: The proxies of its snapshot that are not verified yet, by number.
+        recently_verified: Those that are verified, but of which another feed may still deliver
+            events from before the snapshot.
+        snapshot_at: Clock time when it delivered the last proxy of its snapshot, in ticks.
+        is_abandoned: Whether another feed has replaced it, as it was idle. Its counts are no longer
+            those of the others, so it must not deliver any more events.
     """
 
     opened_at_event: int
@@ -65,6 +70,9 @@
     snapshot_proxies: set[int] = field(default_factory=set)
     event_counts: dict[int, int] = field(default_factory=dict)
     unverified: dict[int, UnverifiedProxy] = field(default_factory=dict)
+    recently_verified: dict[int, UnverifiedProxy] = field(default_factory=dict)
+    snapshot_at: int = 0
+    is_abandoned: bool = False
 
     @property
     def is_verified(self) -> bool:
@@ -73,7 +81,8 @@
 
     def can_verify(self, proxy: int) -> bool:
         """Returns whether it has delivered all events of a proxy, up to its own position."""
-        return not self.is_in_snapshot and proxy not in self.unverified
+        is_complete = not self.is_in_snapshot and not self.is_abandoned
+        return is_complete and proxy not in self.unverified
 
     def is_idle(self, now: int) -> bool:
         """Returns whether it has missed a ping, so that its connection may have failed."""
@@ -82,3 +91,31 @@
     def next_verification(self) -> int:
         """Returns the clock time before which no unverified proxy can be verified, in ticks."""
         return min((proxy.verifiable_at for proxy in self.unverified.values()), default=0)
+
+    def add_unverified(self, proxy: int, unverified: UnverifiedProxy, now: int) -> None:
+        """Adds a proxy of the snapshot."""
+        self.unverified[proxy] = unverified
+        self.snapshot_at = now
+
+    def on_verified(self, proxy: int) -> None:
+        """Handles a proxy of which two feeds have delivered the same events."""
+        self.recently_verified[proxy] = self.unverified.pop(proxy)
+
+    def postpone_verification(self, proxy: int, now: int) -> None:
+        """Handles an event of a proxy, which other feeds may deliver later than one has.
+
+        Also takes back the verification of a proxy if the event may be from before the snapshot.
+        """
+        verified = self.recently_verified.pop(proxy, None)
+        if verified is not None and self._may_late_events_follow(now):
+            self.unverified[proxy] = verified
+        if proxy in self.unverified:
+            self.unverified[proxy].verifiable_at = now + MAX_EVENT_LAG_TICKS
+
+    def forget_verified(self, now: int) -> None:
+        """Drops the verified proxies once all events from before the snapshot are delivered."""
+        if not self._may_late_events_follow(now):
+            self.recently_verified.clear()
+
+    def _may_late_events_follow(self, now: int) -> bool:
+        return now < self.snapshot_at + MAX_EVENT_LAG_TICKS
--- a/ironfall/platform/proxy_streams.py
+++ b/ironfall/platform/proxy_streams.py
@@ -13,8 +13,9 @@
 
 A connection that has failed silently looks like one on which nothing happens, and one that lags may
 still deliver events from before the snapshot. So the proxies of a snapshot are unverified until
-another feed has delivered something that the relay sent later. If all feeds that could verify them
-become idle or end, there was a gap.
+another feed has delivered something that the relay sent later, and again after a late event. If all
+feeds that could verify them become idle or end, there was a gap, and those that are still open are
+abandoned.
 """
 
 from collections import OrderedDict
@@ -22,7 +23,6 @@
 from typing import Protocol
 
 from ironfall.platform.proxy_feed import (
-    MAX_EVENT_LAG_TICKS,
     MAX_SNAPSHOT_LAG_TICKS,
     Feed,
     ProxyState,
@@ -87,12 +87,16 @@
             self._verify_snapshot(other)
 
     def on_received(self, feed: Feed) -> None:
-        """Handles bytes that a feed has delivered, or its regular end, before their events."""
+        """Handles bytes that a feed has delivered, or its regular end, before their events.
+
+        The events of a feed that is abandoned by then must not be passed on.
+        """
         now = self.now()
         feed.last_received_at = now
         for unverified in self.feeds:
             if now >= unverified.next_verification():
                 self._verify_snapshot(unverified)
+        feed.forget_verified(now)
 
     def on_attach(self, feed: Feed, proxy: int, state: ProxyState) -> None:
         """Handles a proxy in the snapshot, or one that has attached since then."""
@@ -182,16 +186,18 @@
             feed.event_counts[proxy] = count - 1
         else:
             self._deliver_attach(feed, proxy, count + 1, state)
-        feed.unverified[proxy] = UnverifiedProxy(
-            state, self._event_counts[proxy], was_assigned, self.now() + MAX_SNAPSHOT_LAG_TICKS
+        now = self.now()
+        unverified = UnverifiedProxy(
+            state, self._event_counts[proxy], was_assigned, now + MAX_SNAPSHOT_LAG_TICKS
         )
+        feed.add_unverified(proxy, unverified, now)
         self._verify_proxy(feed, proxy)
 
     def _note_change(self, proxy: int) -> None:
         """Records that a feed delivers an event of a proxy now."""
+        now = self.now()
         for feed in self.feeds:
-            if proxy in feed.unverified:
-                feed.unverified[proxy].verifiable_at = self.now() + MAX_EVENT_LAG_TICKS
+            feed.postpone_verification(proxy, now)
 
     def _verify_snapshot(self, feed: Feed) -> None:
         """Verifies the proxies of a snapshot of which that can be done now."""
@@ -207,11 +213,13 @@
         in_snapshot = feed.unverified[proxy]
         others = [other for other in self.feeds if other is not feed and other.can_verify(proxy)]
         if all(other.is_idle(now) for other in others):
+            for other in others:
+                other.is_abandoned = True
             del feed.unverified[proxy]
             return self._end_gap(feed, proxy, in_snapshot)
         newest = max(other.last_received_at for other in others)
         if min(feed.last_received_at, newest) >= in_snapshot.verifiable_at:
-            del feed.unverified[proxy]
+            feed.on_verified(proxy)
             self._adopt_count(feed, proxy)
         return False
 
@@ -239,12 +247,15 @@
         return was_attached or is_attached
 
     def _restore(self, feed: Feed, proxy: int, in_snapshot: UnverifiedProxy) -> bool:
-        """Has a proxy assigned again if that was not ordered since the gap; returns whether so."""
+        """Has an assigned proxy assigned again, unless that was only ordered after the gap.
+
+        Returns whether it is assigned again.
+        """
         count = self._event_counts[proxy]
         has_changed = count > in_snapshot.event_count
         if proxy not in self.assigned or not (in_snapshot.was_assigned or has_changed):
             return False
-        if in_snapshot.state.is_cold and not has_changed:
+        if in_snapshot.state.is_cold:
             self._deliver_attach(feed, proxy, count + 2, in_snapshot.state)
         else:
             self._listener.on_proxy_desynchronized(proxy)
--- a/ironfall/platform/proxy_subscription.py
+++ b/ironfall/platform/proxy_subscription.py
@@ -30,6 +30,10 @@
     """A feed delivered a line that is not an event, or the relay ended the feed."""
 
 
+class AbandonedFeedError(IronfallError):
+    """A feed was idle for so long that another has replaced it."""
+
+
 class EventDecoder:
     """Decodes the relay's notifications and passes them to the `ProxyStreams`."""
 
@@ -153,7 +157,7 @@
         feed = self._streams.open_feed()
         try:
             self._read_feed(sock, feed)
-        except (OSError, MalformedEventError) as error:
+        except (OSError, MalformedEventError, AbandonedFeedError) as error:
             self._runtime.count("news broken")
             self._runtime.log.info(
                 "proxy event feed broken; reconnecting", cause=f"{type(error).__name__}: {error}"
@@ -172,6 +176,8 @@
             if len(partial) > MAX_LINE_BYTES:
                 raise MalformedEventError(f"line longer than {MAX_LINE_BYTES} bytes")
             self._streams.on_received(feed)
+            if feed.is_abandoned:
+                raise AbandonedFeedError("idle during a gap that another feed has ended")
             for line in lines:
                 self._decoder.handle_line(feed, line)
             gevent.sleep(0)  # let other greenlets run: a snapshot may be large
--- a/tests/test_feed_gaps.py
+++ b/tests/test_feed_gaps.py
@@ -141,7 +141,7 @@
         for index, connection in enumerate(self.connections):
             if connection is None:
                 self._connect(index)
-            elif connection.idle_steps >= IDLE_STEPS:
+            elif connection.idle_steps >= IDLE_STEPS or connection.feed.is_abandoned:
                 self.reset(index)
             else:
                 connection.idle_steps += 1
@@ -171,7 +171,8 @@
             connection.idle_steps = 0
             self.streams.on_received(connection.feed)
         for event in events:
-            event(connection.feed)
+            if not connection.feed.is_abandoned:
+                event(connection.feed)
 
     def _attach_event(self, proxy):
         state = ProxyState(0, 1.0, proxy in self.cold)
@@ -243,6 +244,48 @@
     assert simulation.events == [("left", 1), ("joined", 1)]
 
 
+@pytest.mark.parametrize("lag_steps, returns", [(1, 1), (10, 2), (20, 2)])
+def test_a_feed_that_replaced_one_before_a_late_event_is_believed_later(lag_steps, returns):
+    # The new feed counts the proxy's events from what the late one had delivered by then, so that its next ones passed
+    # for old ones, also when it alone delivered them.
+    simulation = FeedSimulation(lag_steps)
+    simulation.reset(0)
+    for _ in range(returns):
+        simulation.return_(1, cold=False)
+        simulation.wait(1)
+    simulation.wait(80)
+    simulation.silence(1)
+    simulation.return_(1, cold=False)
+    simulation.heal()
+    assert simulation.unserved() == set()
+
+
+def test_a_proxy_that_restarts_again_while_a_feed_is_unverified_joins_instead_of_waiting():
+    # A desynchronized proxy is assigned at a reduced rate, so one without any ordered table must not count as such.
+    simulation = FeedSimulation(lag_steps=10)
+    simulation.reset(0)
+    simulation.return_(1, cold=True)
+    simulation.return_(1, cold=True)
+    simulation.wait(12)
+    simulation.silence(1)
+    simulation.return_(1, cold=True)
+    simulation.heal()
+    assert simulation.events[-1] == ("joined", 1) and simulation.unserved() == set()
+
+
+def test_two_new_feeds_do_not_verify_each_other():
+    simulation = FeedSimulation()
+    simulation.silence(0)
+    simulation.silence(1)
+    simulation.return_(1, cold=True)
+    # As after a change of the relay's address, while the feeds of the earlier one are open.
+    for _ in range(2):
+        simulation.connections.append(None)
+        simulation.lags += (0,)
+    simulation.heal()
+    assert simulation.unserved() == set()
+
+
 # Waits are short beside the times after which a feed counts as idle, so that breaks and returns overlap.
 ACTIONS = st.one_of(
     st.tuples(st.just("return_"), st.sampled_from(PROXIES), st.booleans()),
@@ -298,17 +341,44 @@
     broken.shutdown(socket.SHUT_RD)
     until(lambda: 1 in relay.bound())
     assert silent_rig.director.streams.gap_count == 1
+    # What the silent connection delivers later is out of step with the others: it is replaced.
+    relay.silent.clear()
+    until(lambda: "AbandonedFeedError" in silent_rig.log.events[-1][1].get("cause", ""))
+    until(lambda: silent not in relay.feeds and len(relay.feeds) == 2)
+
+
+def move_to(rig, relay):
+    """Moves the director to another relay, at which its proxy stands as before."""
+    relay.standing = {1: {**rig.relay.standing[1], "cold": False}}
+    rig.relay = relay
+    rig.write_config()
+    rig.director.reload()
+    until(lambda: len(relay.feeds) == 2)
 
 
 def test_feeds_of_an_earlier_address_continue_until_one_of_the_new_is_verified(silent_rig):
     # A director that closed them with the first snapshot would take it for the end of a gap, and assign all anew.
     old_relay, new_relay = silent_rig.relay, SilentRelay()
-    new_relay.standing = {1: {**old_relay.standing[1], "cold": False}}
-    silent_rig.relay = new_relay
-    silent_rig.write_config()
-    silent_rig.director.reload()
-    until(lambda: len(new_relay.feeds) == 2 and not old_relay.feeds)
+    move_to(silent_rig, new_relay)
+    until(lambda: not old_relay.feeds)
+    feeds = silent_rig.director.streams.feeds
+    until(lambda: len(feeds) == 2 and all(feed.is_verified for feed in feeds))
+    assert not new_relay.bound() and silent_rig.director.streams.gap_count == 0
+    old_relay.stop()
+
+
+def test_the_regular_end_of_an_earlier_feed_shows_that_nothing_is_missing(silent_rig):
+    old_relay, new_relay = silent_rig.relay, SilentRelay()
+    old_relay.pinging.kill()
+    move_to(silent_rig, new_relay)
     feeds = silent_rig.director.streams.feeds
+    until(
+        lambda: (
+            len(feeds) == 4 and all(f.last_received_at >= f.next_verification() for f in feeds[2:])
+        )
+    )
+    assert not feeds[2].is_verified and not feeds[3].is_verified
+    old_relay.cut()
     until(lambda: len(feeds) == 2 and all(feed.is_verified for feed in feeds))
     assert not new_relay.bound() and silent_rig.director.streams.gap_count == 0
     old_relay.stop()
