--- a/ironfall/platform/proxy_feed.py
+++ b/ironfall/platform/proxy_feed.py
@@ -29,16 +29,16 @@
 
 @dataclass(slots=True)
 class UnverifiedProxy:
-    """A proxy in a snapshot that may have had events before it which no feed has delivered.
+    """A proxy that may have had events before a snapshot which no feed has delivered.
 
     Attributes:
-        state: Its newest state by the feed of the snapshot.
+        state: Its newest state by the feed of the snapshot, None while it is detached there.
         event_count: The number of its newest event when the snapshot was delivered.
         was_assigned: Whether it was attached and assigned then.
         verifiable_at: Clock time from which on it is verified by what two feeds deliver, in ticks.
     """
 
-    state: ProxyState
+    state: ProxyState | None
     event_count: int
     was_assigned: bool
     verifiable_at: int
@@ -49,23 +49,23 @@
     """The progress of one subscription.
 
     Attributes:
-        opened_at_event: Number of the newest event of all feeds when this one was opened.
+        counts_at_opening: Number of events of each proxy that any feed had delivered when this one
+            was opened.
         last_received_at: Clock time when it last delivered anything, in ticks.
-        had_proxies: Whether any proxy was attached when it was opened.
         is_in_snapshot: Whether its snapshot is still being delivered.
         snapshot_proxies: The proxies in the snapshot so far.
         event_counts: Number of events that it has delivered, by proxy.
-        unverified: The proxies of its snapshot that are not verified yet, by number.
+        unverified: The proxies, by number, of which it is not verified yet that no event before
+            its snapshot is missing.
         recently_verified: Those that are verified, but of which another feed may still deliver
             events from before the snapshot.
-        snapshot_at: Clock time when it delivered the last proxy of its snapshot, in ticks.
+        snapshot_at: Clock time when it last delivered a part of its snapshot, in ticks.
         is_abandoned: Whether another feed has replaced it, as it was idle. Its counts are no longer
             those of the others, so it must not deliver any more events.
     """
 
-    opened_at_event: int
+    counts_at_opening: dict[int, int]
     last_received_at: int
-    had_proxies: bool
     is_in_snapshot: bool = True
     snapshot_proxies: set[int] = field(default_factory=set)
     event_counts: dict[int, int] = field(default_factory=dict)
@@ -74,6 +74,11 @@
     snapshot_at: int = 0
     is_abandoned: bool = False
 
+    @property
+    def had_proxies(self) -> bool:
+        """Whether any proxy was attached when it was opened."""
+        return any(count % 2 for count in self.counts_at_opening.values())
+
     @property
     def is_verified(self) -> bool:
         """Whether its snapshot is complete, and no event before it is missing."""
@@ -92,10 +97,10 @@
         """Returns the clock time before which no unverified proxy can be verified, in ticks."""
         return min((proxy.verifiable_at for proxy in self.unverified.values()), default=0)
 
-    def add_unverified(self, proxy: int, unverified: UnverifiedProxy, now: int) -> None:
-        """Adds a proxy of the snapshot."""
-        self.unverified[proxy] = unverified
-        self.snapshot_at = now
+    def least_count(self, proxy: int, is_attached: bool) -> int:
+        """Returns the least number of events of a proxy that its snapshot can include."""
+        count = self.counts_at_opening.get(proxy, 0)
+        return count if count % 2 == is_attached else count + 1
 
     def on_verified(self, proxy: int) -> None:
         """Handles a proxy of which two feeds have delivered the same events."""
--- a/ironfall/platform/proxy_streams.py
+++ b/ironfall/platform/proxy_streams.py
@@ -23,6 +23,7 @@
 from typing import Protocol
 
 from ironfall.platform.proxy_feed import (
+    MAX_EVENT_LAG_TICKS,
     MAX_SNAPSHOT_LAG_TICKS,
     Feed,
     ProxyState,
@@ -76,7 +77,7 @@
 
     def open_feed(self) -> Feed:
         """Adds a feed, which delivers its snapshot first."""
-        feed = Feed(self.last_event, self.now(), bool(self.attached))
+        feed = Feed(dict(self._event_counts), self.now())
         self.feeds.append(feed)
         return feed
 
@@ -105,9 +106,7 @@
             self._on_snapshot_proxy(feed, proxy, state)
             return
         self.end_snapshot(feed)
-        self._note_change(proxy)
-        if proxy in feed.unverified:
-            feed.unverified[proxy].state = state
+        self._note_change(feed, proxy, state)
         delivered = feed.event_counts.get(proxy, 0)
         number = delivered + 1
         if delivered % 2:
@@ -118,7 +117,7 @@
     def on_detach(self, feed: Feed, proxy: int) -> None:
         """Handles a proxy that has detached."""
         self.end_snapshot(feed)
-        self._note_change(proxy)
+        self._note_change(feed, proxy, None)
         delivered = feed.event_counts.get(proxy, 0)
         if delivered % 2:
             self._deliver_detach(feed, proxy, delivered + 1)
@@ -152,16 +151,10 @@
         if not feed.is_in_snapshot:
             return
         feed.is_in_snapshot = False
-        for proxy, count in list(self._event_counts.items()):
-            if proxy in feed.snapshot_proxies:
-                continue
-            if count % 2 == 0:
-                feed.event_counts[proxy] = count
-            elif self._newest_events[proxy] > feed.opened_at_event:
-                # It attached after the feed was opened: this feed will deliver that event too.
-                feed.event_counts[proxy] = count - 1
-            else:
-                self._deliver_detach(feed, proxy, count + 1)
+        absent = [proxy for proxy in self._event_counts if proxy not in feed.snapshot_proxies]
+        for proxy in absent:
+            self._deliver_detach(feed, proxy, feed.least_count(proxy, is_attached=False))
+            self._add_unverified(feed, proxy, None, proxy in self.assigned)
         feed.snapshot_proxies = set()
         if not self._is_any_other_live(feed):
             self._count_gap(feed)
@@ -176,28 +169,31 @@
             self.gap_count += 1
 
     def _on_snapshot_proxy(self, feed: Feed, proxy: int, state: ProxyState) -> None:
-        count = self._event_counts.get(proxy, 0)
         was_assigned = proxy in self.assigned
-        if count % 2:
-            feed.event_counts[proxy] = count
-        elif count and self._newest_events[proxy] > feed.opened_at_event:
-            # It detached after this feed was opened, as another feed has delivered: this feed will
-            # deliver that event too.
-            feed.event_counts[proxy] = count - 1
-        else:
-            self._deliver_attach(feed, proxy, count + 1, state)
+        self._deliver_attach(feed, proxy, feed.least_count(proxy, is_attached=True), state)
+        self._add_unverified(feed, proxy, state, was_assigned)
+
+    def _add_unverified(
+        self, feed: Feed, proxy: int, state: ProxyState | None, was_assigned: bool
+    ) -> None:
+        """Adds a proxy of which a snapshot tells that it is attached or, by no state, detached."""
         now = self.now()
-        unverified = UnverifiedProxy(
-            state, self._event_counts[proxy], was_assigned, now + MAX_SNAPSHOT_LAG_TICKS
-        )
-        feed.add_unverified(proxy, unverified, now)
+        count = self._event_counts[proxy]
+        # The snapshot may include events that another feed has delivered since this one was opened;
+        # if it does not, this feed is to deliver them too.
+        is_ambiguous = count > feed.event_counts[proxy]
+        lag = MAX_EVENT_LAG_TICKS if is_ambiguous else MAX_SNAPSHOT_LAG_TICKS
+        feed.unverified[proxy] = UnverifiedProxy(state, count, was_assigned, now + lag)
+        feed.snapshot_at = now
         self._verify_proxy(feed, proxy)
 
-    def _note_change(self, proxy: int) -> None:
-        """Records that a feed delivers an event of a proxy now."""
+    def _note_change(self, feed: Feed, proxy: int, state: ProxyState | None) -> None:
+        """Records that a feed delivers an event of a proxy now, and the proxy's state by it."""
         now = self.now()
-        for feed in self.feeds:
-            feed.postpone_verification(proxy, now)
+        for other in self.feeds:
+            other.postpone_verification(proxy, now)
+        if proxy in feed.unverified:
+            feed.unverified[proxy].state = state
 
     def _verify_snapshot(self, feed: Feed) -> None:
         """Verifies the proxies of a snapshot of which that can be done now."""
@@ -236,17 +232,20 @@
         """
         count = self._event_counts[proxy]
         was_attached = count % 2 == 1
-        is_attached = feed.event_counts[proxy] % 2 == 1
+        state = in_snapshot.state
         feed.event_counts[proxy] = count
-        if was_attached and is_attached:
-            return self._restore(feed, proxy, in_snapshot)
-        if is_attached:
-            self._deliver_attach(feed, proxy, count + 1, in_snapshot.state)
-        elif was_attached:
-            self._deliver_detach(feed, proxy, count + 1)
-        return was_attached or is_attached
-
-    def _restore(self, feed: Feed, proxy: int, in_snapshot: UnverifiedProxy) -> bool:
+        if state is None:
+            if was_attached:
+                self._deliver_detach(feed, proxy, count + 1)
+            return was_attached
+        if was_attached:
+            return self._restore(feed, proxy, state, in_snapshot)
+        self._deliver_attach(feed, proxy, count + 1, state)
+        return True
+
+    def _restore(
+        self, feed: Feed, proxy: int, state: ProxyState, in_snapshot: UnverifiedProxy
+    ) -> bool:
         """Has an assigned proxy assigned again, unless that was only ordered after the gap.
 
         Returns whether it is assigned again.
@@ -255,8 +254,8 @@
         has_changed = count > in_snapshot.event_count
         if proxy not in self.assigned or not (in_snapshot.was_assigned or has_changed):
             return False
-        if in_snapshot.state.is_cold:
-            self._deliver_attach(feed, proxy, count + 2, in_snapshot.state)
+        if state.is_cold:
+            self._deliver_attach(feed, proxy, count + 2, state)
         else:
             self._listener.on_proxy_desynchronized(proxy)
         return True
--- a/tests/test_feed_gaps.py
+++ b/tests/test_feed_gaps.py
@@ -54,8 +54,8 @@
     The director assigns each proxy that joins or is desynchronized in the next step. `served` has the incarnation of
     each proxy that got the director's last assignment.
 
-    The second feed delivers its events `lag_steps` late; connections made later lag by `SHORT_LAG_STEPS` at most. What is
-    on its way is lost when a feed breaks, but not on one that lags for longer.
+    The second feed, and each that replaces it, delivers its snapshot and events `lag_steps` late. What is on its way is
+    lost when a feed breaks, but not on one that lags by more than `SHORT_LAG_STEPS`.
     """
 
     def __init__(self, lag_steps=0):
@@ -68,6 +68,7 @@
         for proxy in PROXIES:
             self.attach(proxy, cold=True)
         self.wait(5 * PING_STEPS)
+        self.lags = (0, lag_steps)
         self.connections[1].lag_steps = lag_steps
         self.events = []
 
@@ -273,6 +274,20 @@
     assert simulation.events[-1] == ("joined", 1) and simulation.unserved() == set()
 
 
+def test_an_event_between_a_subscription_and_its_late_snapshot_counts_once():
+    # Counted twice, it made the next event of the feed that continued pass for an old one.
+    simulation = FeedSimulation(SHORT_LAG_STEPS)
+    simulation.reset(1)
+    simulation.wait(1)
+    simulation.return_(1, cold=False)
+    simulation.wait(2 * SHORT_LAG_STEPS)
+    assert simulation.events == [("left", 1), ("joined", 1)]
+    simulation.silence(1)
+    simulation.return_(1, cold=False)
+    simulation.heal()
+    assert simulation.unserved() == set()
+
+
 def test_two_new_feeds_do_not_verify_each_other():
     simulation = FeedSimulation()
     simulation.silence(0)
