--- a/ironfall/platform/director.py
+++ b/ironfall/platform/director.py
@@ -176,10 +176,8 @@
         """
         self.listener.server.stop(0)
         self.is_done.set()
-        subscription = self.subscription
-        gevent.killall(
-            [self._startup, *self.greenlets, *subscription.feeds, *subscription.retiring_feeds]
-        )
+        subscribers = [*self.subscription.greenlets, *self.subscription.retiring_greenlets]
+        gevent.killall([self._startup, *self.greenlets, *subscribers])
         self.relay.close()
         self.watch.client.close()
 
--- a/ironfall/platform/proxy_streams.py
+++ b/ironfall/platform/proxy_streams.py
@@ -18,10 +18,10 @@
 abandoned.
 """
 
-from collections import OrderedDict
 from collections.abc import Callable
 from typing import Protocol
 
+from ironfall.platform.nonce_confirmations import NonceConfirmations
 from ironfall.platform.proxy_feed import (
     MAX_EVENT_LAG_TICKS,
     MAX_SNAPSHOT_LAG_TICKS,
@@ -30,8 +30,6 @@
     UnverifiedProxy,
 )
 
-MAX_REMEMBERED_NONCES = 64
-
 
 class ProxyListener(Protocol):
     """Receives each change once."""
@@ -57,7 +55,7 @@
         assigned: The attached proxies that this director has assigned since they attached.
         feeds: The open feeds.
         last_event: Number of the newest event, counted over all proxies.
-        confirmed: The proxies that have confirmed each recent nonce, by nonce.
+        confirmations: Which proxies have confirmed recent nonces.
         gap_count: How often all feeds were interrupted at the same time.
     """
 
@@ -72,7 +70,7 @@
         # By proxy, the number of its newest event, counted over all proxies.
         self._newest_events: dict[int, int] = {}
         self.last_event = 0
-        self.confirmed: OrderedDict[int, set[int]] = OrderedDict()
+        self.confirmations = NonceConfirmations()
         self.gap_count = 0
 
     def open_feed(self) -> Feed:
@@ -125,19 +123,12 @@
     def on_confirmation(self, feed: Feed, proxy: int, nonce: int) -> None:
         """Handles a proxy that has applied all orders up to those of the nonce's call."""
         self.end_snapshot(feed)
-        proxies = self.confirmed.get(nonce)
-        if proxies is None:
-            proxies = set()
-            self.confirmed[nonce] = proxies
-            while len(self.confirmed) > MAX_REMEMBERED_NONCES:
-                self.confirmed.popitem(last=False)
-        if proxy not in proxies and proxy in self.attached:
-            proxies.add(proxy)
+        if proxy in self.attached and self.confirmations.add(nonce, proxy):
             self._listener.on_nonce_confirmed(proxy, nonce)
 
     def forget_nonce(self, nonce: int) -> None:
         """Drops old confirmations of a nonce that a new call is about to reuse."""
-        self.confirmed.pop(nonce, None)
+        self.confirmations.forget(nonce)
 
     def newest_event(self, proxy: int) -> int:
         """Returns the number of a proxy's newest event, 0 if it has none."""
--- a/ironfall/platform/proxy_subscription.py
+++ b/ironfall/platform/proxy_subscription.py
@@ -104,9 +104,9 @@
 
     Attributes:
         has_snapshot: Set once a feed has delivered its snapshot.
-        feeds: The greenlets that read the feeds of the current address.
-        retiring_feeds: The greenlets of earlier addresses, which continue until a snapshot of the
-            current address is verified.
+        greenlets: The greenlets that read the feeds of the current address.
+        retiring_greenlets: The greenlets of earlier addresses, which continue until a snapshot of
+            the current address is verified.
     """
 
     def __init__(
@@ -123,19 +123,19 @@
         self._runtime = runtime
         self._on_failure = on_failure
         self.has_snapshot = Event()
-        self.feeds: list[gevent.Greenlet] = []
-        self.retiring_feeds: list[gevent.Greenlet] = []
+        self.greenlets: list[gevent.Greenlet] = []
+        self.retiring_greenlets: list[gevent.Greenlet] = []
 
     def start(self) -> None:
         """Starts the feeds of the current address."""
-        self.feeds = [gevent.spawn(self._run_feed, self._address) for _ in range(FEED_COUNT)]
-        for feed in self.feeds:
-            feed.link_exception(self._on_failure)
+        self.greenlets = [gevent.spawn(self._run_feed, self._address) for _ in range(FEED_COUNT)]
+        for greenlet in self.greenlets:
+            greenlet.link_exception(self._on_failure)
 
     def change_address(self, address: Address) -> None:
         """Subscribes at another relay; open feeds continue until a snapshot there is verified."""
         self._address = address
-        self.retiring_feeds += self.feeds
+        self.retiring_greenlets += self.greenlets
         self.start()
 
     def _run_feed(self, address: Address) -> None:
@@ -191,6 +191,6 @@
 
     def _end_retiring_feeds(self) -> None:
         """Ends the feeds of earlier addresses, if a feed of the current address calls this."""
-        if self.retiring_feeds and gevent.getcurrent() in self.feeds:
-            gevent.killall(self.retiring_feeds, block=False)
-            self.retiring_feeds = []
+        if self.retiring_greenlets and gevent.getcurrent() in self.greenlets:
+            gevent.killall(self.retiring_greenlets, block=False)
+            self.retiring_greenlets = []
--- a/tests/test_crossing_life.py
+++ b/tests/test_crossing_life.py
@@ -58,7 +58,7 @@
         for nonce in before:
             rig.relay.done(nonce)
         assert not set(before) & set(after.director.outbox.versions)
-        until(lambda: set(before) <= set(after.director.streams.confirmed))
+        until(lambda: set(before) <= set(after.director.streams.confirmations.proxies_by_nonce))
         assert all(u.entries_by_proxy for u in after.director.event_loop.engine.budget.updates)
         rig.relay.stop = lambda stop=rig.relay.stop: None
     del rig.relay.stop
@@ -75,7 +75,7 @@
         lambda: (
             len(rig.relay.feeds) == 2
             and not other.feeds
-            and not rig.director.subscription.retiring_feeds
+            and not rig.director.subscription.retiring_greenlets
         )
     )
     assert rig.director.streams.attached == {1} and len(rig.director.streams.feeds) == 2
