Name the fakes of the platform's tests by the terms of the field

Need: the tests of the platform spoke of a relay's "standing" and "bound" proxies, of "tell", "done", "quiet" and "stream". Change, in tests and benchmarks alone: Relay.attached, assigned, send_event, confirm and connections; has_sent_all; start_flood; RecordingLog; a docstring each. No assert, bound or wait changes.

--- a/benchmarks/rude.py
+++ b/benchmarks/rude.py
@@ -20,7 +20,7 @@
 from gevent import socket
 
 from benchmarks.common import free_port, percentile
-from tests.platform_rig import REPORT, SETTINGS, Agent, Relay, stream
+from tests.platform_rig import REPORT, SETTINGS, Agent, Relay, start_flood
 
 HOSTS, PROXIES = 60, 40
 BAD = [
@@ -81,7 +81,7 @@
         )
         self.took, self.memory, self.files, self.helpers = [], 0, 0, []
         for proxy in range(PROXIES):
-            self.relay.standing[proxy] = {
+            self.relay.attached[proxy] = {
                 "locality": ("lagos", "ibadan")[proxy % 2],
                 "w": 2.0,
                 "cold": True,
@@ -110,17 +110,17 @@
                 for order in call:
                     if order["verb"] == "SYNC":
                         with contextlib.suppress(OSError):
-                            self.relay.done(order["nonce_out"])
+                            self.relay.confirm(order["nonce_out"])
             told = len(self.relay.calls)
             gevent.sleep(0.05)
 
     def rude(self, chance, until):
         if self.how == "address":
             self.helpers += [
-                stream(
+                start_flood(
                     ("127.0.0.1", self.port), b"telemetry locality=lagos\r\n" + REPORT * 64, 10**6
                 ),
-                stream(
+                start_flood(
                     ("127.0.0.1", self.port), b"telemetry locality=lagos\r\n" + b"\r\n" * 999, 10**6
                 ),
             ]
--- a/benchmarks/scale/_serving.py
+++ b/benchmarks/scale/_serving.py
@@ -97,7 +97,7 @@
     def _ping(self):
         while True:
             gevent.sleep(1.0)
-            self.tell("ping")
+            self.send_event("ping")
 
     def _handle_message(self, sock, call):
         super()._handle_message(sock, call)
@@ -134,13 +134,13 @@
                     n for n, used in self.uses.items() if named.intersection(used.values())
                 )
             elif verb == "LIMIT":
-                concerned.update(self.standing)
+                concerned.update(self.attached)
         return concerned
 
     def _confirm(self, concerned, nonce):
         if nonce is not None:
             for proxy in sorted(concerned):
-                self.tell("done", node=proxy, nonce=nonce, latency=1000 * TRANSIT)
+                self.send_event("done", node=proxy, nonce=nonce, latency=1000 * TRANSIT)
 
 
 class ListedHost(Agent):
@@ -226,7 +226,7 @@
         self.tally.watch(self.relay.server)
         self.tally.watch(self.agent.server.server)
         for proxy in range(proxies):
-            self.relay.standing[proxy] = {
+            self.relay.attached[proxy] = {
                 "locality": ZONES[proxy % 3],
                 "w": EXCHANGES * hosts / proxies,
                 "cold": True,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,12 +8,12 @@
 @pytest.fixture
 def rig(tmp_path):
     """A director on the platform with one proxy bound and nothing on its way to the relay."""
-    from tests.platform_rig import PlatformRig, quiet
+    from tests.platform_rig import PlatformRig, has_sent_all
     from tests.rig import until
 
     with PlatformRig(tmp_path) as rig:
         rig.relay.attach(1)
-        until(lambda: 1 in rig.relay.bound() and quiet(rig))
+        until(lambda: 1 in rig.relay.assigned() and has_sent_all(rig))
         yield rig
 
 
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -37,7 +37,9 @@
 }
 
 
-class Quiet:
+class RecordingLog:
+    """Records log events as pairs of a name and the fields."""
+
     def __init__(self):
         self.events = []
 
@@ -66,25 +68,25 @@
         self.server.start()
         self.address = ("127.0.0.1", self.server.server_port)
         self.orders, self.calls, self.answers = [], [], []
-        self.standing, self.feeds, self.socks = {}, [], set()
+        self.attached, self.feeds, self.connections = {}, [], set()
         self.pinging = gevent.spawn(self._ping)
 
     def _serve(self, sock, _):
-        self.socks.add(sock)
+        self.connections.add(sock)
         try:
             for line in sock.makefile("rb"):
                 self._handle_message(sock, json.loads(line))
         except (OSError, ValueError):
             pass
         finally:
-            self.socks.discard(sock)
+            self.connections.discard(sock)
             self.feeds = [f for f in self.feeds if f is not sock]
             sock.close()
 
     def _handle_message(self, sock, call):
         if call["method"] == "subscribe":
             self._send(sock, {"id": call["id"], "result": True})
-            for proxy, state in self.standing.items():
+            for proxy, state in self.attached.items():
                 self._send(sock, {"method": "attach", "params": {"node": proxy, **state}})
             self.feeds.append(sock)
             return
@@ -110,35 +112,38 @@
     def _send(self, sock, message):
         sock.sendall(json.dumps({"jsonrpc": "2.0", **message}).encode() + b"\n")
 
-    def tell(self, method, **params):
+    def send_event(self, method, **params):
+        """Sends an event to all subscribers."""
         for sock in self.feeds:
             # A connection that was closed a moment ago may still be in the list.
             with contextlib.suppress(OSError):
                 self._send(sock, {"method": method, "params": params})
 
     def attach(self, proxy, zone="lagos", cold=True):
-        self.standing[proxy] = {"locality": zone, "w": 2.0, "cold": cold}
-        self.tell("attach", node=proxy, **self.standing[proxy])
+        self.attached[proxy] = {"locality": zone, "w": 2.0, "cold": cold}
+        self.send_event("attach", node=proxy, **self.attached[proxy])
 
     def detach(self, proxy):
-        del self.standing[proxy]
-        self.tell("detach", node=proxy)
+        del self.attached[proxy]
+        self.send_event("detach", node=proxy)
 
-    def done(self, nonce):
-        for proxy in self.standing:
-            self.tell("done", node=proxy, nonce=nonce, latency=50.0)
+    def confirm(self, nonce):
+        """Has all attached proxies confirm the call with a nonce."""
+        for proxy in self.attached:
+            self.send_event("done", node=proxy, nonce=nonce, latency=50.0)
 
     def _ping(self):
         while True:
             gevent.sleep(0.1)
-            self.tell("ping")
+            self.send_event("ping")
 
     def cut(self):
-        for sock in list(self.socks):
+        for sock in list(self.connections):
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
 
-    def bound(self):
+    def assigned(self):
+        """Returns the proxies that any executed order has assigned to a table."""
         return {o["node"] for o in self.orders if o["verb"] == "USE"}
 
     def stop(self):
@@ -200,8 +205,10 @@
 
 
 class PlatformRig:
+    """A running director with its fakes, and the configuration file that it was started with."""
+
     def __init__(self, tmp_path, hosts=6, relay=None, agent=None, **changes):
-        self.relay, self.agent, self.log = relay or Relay(), agent or Agent(hosts), Quiet()
+        self.relay, self.agent, self.log = relay or Relay(), agent or Agent(hosts), RecordingLog()
         self.path = tmp_path / "config.json"
         self.changes = changes
         self.write_config()
@@ -256,7 +263,7 @@
     return received
 
 
-def stream(address, data, times):
+def start_flood(address, data, times):
     """Starts a process that sends `data` without pause, `times` times or until the connection is closed."""
     code = (
         "import socket, sys; s = socket.create_connection((sys.argv[1], int(sys.argv[2]))); "
@@ -271,7 +278,7 @@
     return process
 
 
-def quiet(rig):
+def has_sent_all(rig):
     """Returns whether no order is in flight to the relay or waiting."""
     return not rig.director.outbox.in_flight and not rig.director.outbox.waiting
 
--- a/tests/test_crossing_address.py
+++ b/tests/test_crossing_address.py
@@ -12,7 +12,14 @@
 from gevent import socket
 
 from ironfall.platform import director, report_listener
-from tests.platform_rig import REPORT, Agent, PlatformRig, read_to_end, stream, withdrawal_order
+from tests.platform_rig import (
+    REPORT,
+    Agent,
+    PlatformRig,
+    read_to_end,
+    start_flood,
+    withdrawal_order,
+)
 from tests.rig import until
 
 
@@ -50,7 +57,7 @@
             gevent.sleep(0.001)
 
     measuring = gevent.spawn(measure_pauses)
-    sender = stream(rig.address, first + flood, 3000)
+    sender = start_flood(rig.address, first + flood, 3000)
     until(
         lambda: (
             rig.count("reports") > 2000
--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -11,7 +11,7 @@
 from gevent.event import Event
 
 from ironfall.platform import relay_client, relay_connection
-from tests.platform_rig import Relay, quiet, withdrawal_order
+from tests.platform_rig import Relay, has_sent_all, withdrawal_order
 from tests.rig import until
 
 
@@ -34,7 +34,7 @@
     rig.director.relay.close()
     rig.relay.answers = [lambda sock, call: execute_and_answer(rig, sock, call, 0.03)]
     rig.agent.set("s-1", "leaving")
-    until(lambda: withdrawal_order("s-1") in rig.relay.orders and quiet(rig))
+    until(lambda: withdrawal_order("s-1") in rig.relay.orders and has_sent_all(rig))
     assert not [
         name for name in rig.director.event_loop.counts if name.startswith("calls uncertain")
     ]
@@ -53,12 +53,12 @@
 
     def lost_while_the_first_is_confirmed(sock, call):
         assert withdrawal_order("s-2") in call["params"]["orders"]
-        gevent.spawn_later(0.01, rig.relay.done, nonces[0])
+        gevent.spawn_later(0.01, rig.relay.confirm, nonces[0])
         raise OSError
 
     rig.relay.answers = [cut_and_add_an_order, lost_while_the_first_is_confirmed]
     rig.agent.set("s-1", "leaving")
-    until(lambda: not rig.relay.answers and quiet(rig))
+    until(lambda: not rig.relay.answers and has_sent_all(rig))
     assert withdrawal_order("s-2") in rig.relay.orders and not rig.count("calls proved")
 
 
@@ -68,7 +68,7 @@
 
     def cut_and_confirm(sock, call):
         rig.relay.orders += call["params"]["orders"]
-        gevent.spawn_later(0.01, rig.relay.done, call["params"]["orders"][-1]["nonce_out"])
+        gevent.spawn_later(0.01, rig.relay.confirm, call["params"]["orders"][-1]["nonce_out"])
         raise OSError
 
     rig.relay.answers = [cut_and_confirm]
@@ -76,7 +76,7 @@
         rig.director.outbox.withdraw(name.encode(), True)
     rig.director.sink.request_confirmation(7)
     rig.director.relay.has_orders.set()
-    until(lambda: quiet(rig) and withdrawal_order("s-3") in rig.relay.orders)
+    until(lambda: has_sent_all(rig) and withdrawal_order("s-3") in rig.relay.orders)
     assert rig.count("calls proved") == 1
     assert [rig.relay.orders.count(withdrawal_order(name)) for name in ("s-1", "s-2", "s-3")] == [
         1,
@@ -108,9 +108,9 @@
     dialled.wait()
     rig.director.relay.change_address(other.address)
     gate.set()
-    until(lambda: withdrawal_order("s-1") in rig.relay.orders and quiet(rig))
+    until(lambda: withdrawal_order("s-1") in rig.relay.orders and has_sent_all(rig))
     rig.agent.set("s-2", "leaving")
-    until(lambda: quiet(rig) and withdrawal_order("s-2") in rig.relay.orders + other.orders)
+    until(lambda: has_sent_all(rig) and withdrawal_order("s-2") in rig.relay.orders + other.orders)
     assert withdrawal_order("s-2") in other.orders
     other.stop()
 
@@ -143,12 +143,12 @@
 def test_an_ambiguous_answer_is_not_taken_for_a_rejection(rig, answer):
     def execute_and_send_it(sock, call):
         rig.relay.orders += call["params"]["orders"]
-        gevent.spawn_later(0.01, rig.relay.done, call["params"]["orders"][-1]["nonce_out"])
+        gevent.spawn_later(0.01, rig.relay.confirm, call["params"]["orders"][-1]["nonce_out"])
         rig.relay._send(sock, {"id": call["id"], **answer})
 
     rig.relay.answers = [execute_and_send_it]
     rig.agent.set("s-1", "leaving")
-    until(lambda: rig.count("calls proved") == 1 and quiet(rig))
+    until(lambda: rig.count("calls proved") == 1 and has_sent_all(rig))
     assert rig.relay.orders.count(withdrawal_order("s-1")) == 1
 
 
@@ -159,9 +159,9 @@
 
     rig.relay.answers = [answer_twice] * 3
     rig.agent.set("s-1", "leaving")
-    until(lambda: withdrawal_order("s-1") in rig.relay.orders and quiet(rig))
+    until(lambda: withdrawal_order("s-1") in rig.relay.orders and has_sent_all(rig))
     rig.agent.set("s-2", "leaving")
-    until(lambda: withdrawal_order("s-2") in rig.relay.orders and quiet(rig))
+    until(lambda: withdrawal_order("s-2") in rig.relay.orders and has_sent_all(rig))
     assert not [
         name
         for name in rig.director.event_loop.counts
@@ -194,7 +194,7 @@
         rig.director.outbox.set_weight(70, b"s-%04d" % n, 1.0)
     rig.director.sink.request_confirmation(7)
     rig.director.relay.has_orders.set()
-    until(lambda: quiet(rig))
+    until(lambda: has_sent_all(rig))
     assert {o["endpoint"] for o in slow.orders if o.get("cluster") == 70} == {
         f"s-{n:04}" for n in range(900)
     }
--- a/tests/test_crossing_life.py
+++ b/tests/test_crossing_life.py
@@ -16,7 +16,15 @@
 from gevent import socket
 from gevent.event import Event
 
-from tests.platform_rig import REPORT, SETTINGS, Agent, PlatformRig, Relay, quiet, stream
+from tests.platform_rig import (
+    REPORT,
+    SETTINGS,
+    Agent,
+    PlatformRig,
+    Relay,
+    has_sent_all,
+    start_flood,
+)
 from tests.rig import until
 
 ROOT = Path(__file__).parent.parent
@@ -54,9 +62,9 @@
     before = [order["nonce_out"] for order in rig.relay.orders if order["verb"] == "SYNC"]
     (tmp_path / "next").mkdir()
     with PlatformRig(tmp_path / "next", relay=rig.relay, seed="5") as after:
-        until(lambda: after.director.outbox.versions and quiet(after))
+        until(lambda: after.director.outbox.versions and has_sent_all(after))
         for nonce in before:
-            rig.relay.done(nonce)
+            rig.relay.confirm(nonce)
         assert not set(before) & set(after.director.outbox.versions)
         until(lambda: set(before) <= set(after.director.streams.confirmations.proxies_by_nonce))
         assert all(u.entries_by_proxy for u in after.director.event_loop.engine.budget.updates)
@@ -66,7 +74,7 @@
 
 def test_changing_the_relay_address_back_and_forth_leaves_two_feeds(rig):
     other = Relay()
-    other.standing = {1: {**rig.relay.standing[1], "cold": False}}
+    other.attached = {1: {**rig.relay.attached[1], "cold": False}}
     first_address = rig.director.relay.address
     for _ in range(3):
         rig.director.subscription.change_address(other.address)
@@ -131,7 +139,7 @@
             relay.attach(1)
             call_received.wait()
         if moment == "flood":
-            sender = stream(
+            sender = start_flood(
                 ("127.0.0.1", port), b"telemetry locality=lagos\r\n" + REPORT * 64, 100_000
             )
             sender.stdout.read(1)
--- a/tests/test_feed_gaps.py
+++ b/tests/test_feed_gaps.py
@@ -18,7 +18,7 @@
     SHORT_LAG_STEPS,
     FeedSimulation,
 )
-from tests.platform_rig import PlatformRig, Relay, quiet
+from tests.platform_rig import PlatformRig, Relay, has_sent_all
 from tests.rig import until
 
 
@@ -173,7 +173,7 @@
     """A director with two feeds that has assigned proxy 1, and its `SilentRelay` with no order left."""
     with PlatformRig(tmp_path, relay=SilentRelay()) as rig:
         rig.relay.attach(1)
-        until(lambda: 1 in rig.relay.bound() and quiet(rig) and len(rig.relay.feeds) == 2)
+        until(lambda: 1 in rig.relay.assigned() and has_sent_all(rig) and len(rig.relay.feeds) == 2)
         rig.relay.orders.clear()
         yield rig
 
@@ -186,7 +186,7 @@
     relay.attach(1)
     broken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     broken.shutdown(socket.SHUT_RD)
-    until(lambda: 1 in relay.bound())
+    until(lambda: 1 in relay.assigned())
     assert silent_rig.director.streams.gap_count == 1
     # What the silent connection delivers later is out of step with the others: it is replaced.
     relay.silent.clear()
@@ -196,7 +196,7 @@
 
 def move_to(rig, relay):
     """Moves the director to another relay, at which its proxy stands as before."""
-    relay.standing = {1: {**rig.relay.standing[1], "cold": False}}
+    relay.attached = {1: {**rig.relay.attached[1], "cold": False}}
     rig.relay = relay
     rig.write_config()
     rig.director.reload()
@@ -210,7 +210,7 @@
     until(lambda: not old_relay.feeds)
     feeds = silent_rig.director.streams.feeds
     until(lambda: len(feeds) == 2 and all(feed.is_verified for feed in feeds))
-    assert not new_relay.bound() and silent_rig.director.streams.gap_count == 0
+    assert not new_relay.assigned() and silent_rig.director.streams.gap_count == 0
     old_relay.stop()
 
 
@@ -227,5 +227,5 @@
     assert not feeds[2].is_verified and not feeds[3].is_verified
     old_relay.cut()
     until(lambda: len(feeds) == 2 and all(feed.is_verified for feed in feeds))
-    assert not new_relay.bound() and silent_rig.director.streams.gap_count == 0
+    assert not new_relay.assigned() and silent_rig.director.streams.gap_count == 0
     old_relay.stop()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -28,7 +28,7 @@
 def attach_and_wait(rig, *proxies):
     for proxy in proxies:
         rig.relay.attach(proxy)
-    until(lambda: rig.relay.bound() >= set(proxies))
+    until(lambda: rig.relay.assigned() >= set(proxies))
 
 
 def test_a_proxy_is_assigned_only_after_the_entries_of_its_table_are_sent(rig):
@@ -42,7 +42,7 @@
     nonce = [order["nonce_out"] for order in rig.relay.orders if order["verb"] == "SYNC"][-1]
     budget, version = rig.director.event_loop.engine.budget, rig.director.outbox.versions[nonce]
     assert any(m.version == version and len(m.entries_by_proxy) == 2 for m in budget.updates)
-    rig.relay.done(nonce)
+    rig.relay.confirm(nonce)
     until(lambda: not any(m.version == version and m.entries_by_proxy for m in budget.updates))
 
 
@@ -92,7 +92,7 @@
     calls = len(rig.relay.calls)
     rig.agent.set("s-1", "leaving")
     until(lambda: len(rig.relay.calls) > calls)
-    rig.relay.done(rig.relay.calls[-1][-1]["nonce_out"])
+    rig.relay.confirm(rig.relay.calls[-1][-1]["nonce_out"])
     until(lambda: rig.count("calls proved"))
     assert (
         sum(o == {"verb": "OUT", "endpoint": "s-1"} for call in rig.relay.calls for o in call) == 1
@@ -101,11 +101,11 @@
 
 def test_no_proxy_is_lost_when_all_subscriptions_break(rig):
     attach_and_wait(rig, 1, 2)
-    rig.relay.standing[3] = {"locality": "ibadan", "w": 1.0, "cold": True}
-    del rig.relay.standing[1]
+    rig.relay.attached[3] = {"locality": "ibadan", "w": 1.0, "cold": True}
+    del rig.relay.attached[1]
     rig.relay.cut()
     until(lambda: rig.director.streams.attached == {2, 3})
-    until(lambda: 3 in rig.relay.bound())
+    until(lambda: 3 in rig.relay.assigned())
     assert set(rig.director.event_loop.engine.proxies) == {2, 3}
 
 
@@ -133,8 +133,8 @@
 def test_a_new_configuration_moves_all_connections_and_reassigns_no_proxy(rig):
     attach_and_wait(rig, 1, 2)
     old_relay, new_relay, new_agent = rig.relay, Relay(), Agent()
-    new_relay.standing = {
-        proxy: {**state, "cold": False} for proxy, state in old_relay.standing.items()
+    new_relay.attached = {
+        proxy: {**state, "cold": False} for proxy, state in old_relay.attached.items()
     }
     new_agent.version = rig.agent.version
     rig.path.write_text("{")
@@ -147,7 +147,7 @@
     until(lambda: len(new_relay.feeds) == 2 and not old_relay.feeds)
     new_agent.set("s-1", "leaving")
     until(lambda: {"verb": "OUT", "endpoint": "s-1"} in new_relay.orders)
-    assert not new_relay.bound() and rig.director.streams.gap_count == 0
+    assert not new_relay.assigned() and rig.director.streams.gap_count == 0
     old_relay.stop()
     old_agent.server.stop(0)
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -24,7 +24,7 @@
     UPSTREAM_REPORT,
 )
 from ironfall.simulator_adapter.instances import Instances
-from tests.platform_rig import SETTINGS, Quiet
+from tests.platform_rig import SETTINGS, RecordingLog
 
 OTHER_SETTINGS = {
     "Dcs": ["east", "north", "west"],
@@ -84,7 +84,7 @@
         )
         self.hosts = [f"s-{n:02}" for n in range(hosts)]
         self.program = PlatformDirector(
-            read_startup_config({"RELAY_CONFIG": str(path)}), Quiet(), lambda: self.now
+            read_startup_config({"RELAY_CONFIG": str(path)}), RecordingLog(), lambda: self.now
         )
         self.program.event_loop.begin()
         self.step = 0
