Lose no return of a proxy with late events of a feed that ends or of an earlier address

After a gap, too, late events put a feed's count in doubt, where another feed is open that may deliver them; a feed in doubt about its count still shows that it continued. A return that only matches a number of a feed that has ended, while its own feed is in doubt, counts as new: to join once too often is better than never.

--- a/ironfall/platform/proxy_feed.py
+++ b/ironfall/platform/proxy_feed.py
@@ -33,15 +33,17 @@
 
     Attributes:
         state: Its newest state by the feed of the snapshot, None while it is detached there.
-        event_count: The number of its newest event when the snapshot was delivered.
-        was_assigned: Whether it was attached and assigned then.
+        was_assigned: Whether it was attached and assigned when the snapshot was delivered.
         verifiable_at: Clock time from which on it is verified by what two feeds deliver, in ticks.
+        was_verified: Whether it was verified before, and only its number of events is in doubt.
+        has_changed: Whether any feed has delivered an event of it since the snapshot.
     """
 
     state: ProxyState | None
-    event_count: int
     was_assigned: bool
     verifiable_at: int
+    was_verified: bool = False
+    has_changed: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -84,10 +86,19 @@
         """Whether its snapshot is complete, and no event before it is missing."""
         return not self.is_in_snapshot and not self.unverified
 
+    def is_settled(self, now: int) -> bool:
+        """Returns whether it is verified, and no other feed delivers earlier events any more."""
+        return self.is_verified and not self._may_late_events_follow(now)
+
+    @property
+    def is_continuing(self) -> bool:
+        """Whether it has delivered its snapshot, and all events since then up to its position."""
+        return not self.is_in_snapshot and not self.is_abandoned
+
     def can_verify(self, proxy: int) -> bool:
         """Returns whether it has delivered all events of a proxy, up to its own position."""
-        is_complete = not self.is_in_snapshot and not self.is_abandoned
-        return is_complete and proxy not in self.unverified
+        unverified = self.unverified.get(proxy)
+        return self.is_continuing and (unverified is None or unverified.was_verified)
 
     def is_idle(self, now: int) -> bool:
         """Returns whether it has missed a ping, so that its connection may have failed."""
@@ -103,8 +114,10 @@
         return count if count % 2 == is_attached else count + 1
 
     def on_verified(self, proxy: int) -> None:
-        """Handles a proxy of which two feeds have delivered the same events."""
-        self.recently_verified[proxy] = self.unverified.pop(proxy)
+        """Handles a proxy that two feeds agree on, or of which a gap has been ended."""
+        verified = self.unverified.pop(proxy)
+        verified.was_verified = True
+        self.recently_verified[proxy] = verified
 
     def postpone_verification(self, proxy: int, now: int) -> None:
         """Handles an event of a proxy, which other feeds may deliver later than one has.
@@ -114,8 +127,10 @@
         verified = self.recently_verified.pop(proxy, None)
         if verified is not None and self._may_late_events_follow(now):
             self.unverified[proxy] = verified
-        if proxy in self.unverified:
-            self.unverified[proxy].verifiable_at = now + MAX_EVENT_LAG_TICKS
+        unverified = self.unverified.get(proxy)
+        if unverified is not None:
+            unverified.verifiable_at = now + MAX_EVENT_LAG_TICKS
+            unverified.has_changed = True
 
     def forget_verified(self, now: int) -> None:
         """Drops the verified proxies once all events from before the snapshot are delivered."""
--- a/ironfall/platform/proxy_streams.py
+++ b/ironfall/platform/proxy_streams.py
@@ -110,8 +110,18 @@
         if delivered % 2:
             # Already attached, so it has detached in between without an event.
             number += 1
+        if proxy in feed.unverified and not self._has_other_delivered(feed, proxy, number):
+            # A feed that has ended delivered as many events, perhaps from before this one's
+            # snapshot. To join once too often is better than never.
+            count = self._event_counts[proxy]
+            number = max(number, count + 1 + count % 2)
         self._deliver_attach(feed, proxy, number, state)
 
+    def _has_other_delivered(self, feed: Feed, proxy: int, number: int) -> bool:
+        """Returns whether another open feed has delivered an event of a proxy, by its number."""
+        others = (other for other in self.feeds if other is not feed)
+        return any(other.event_counts.get(proxy, 0) >= number for other in others)
+
     def on_detach(self, feed: Feed, proxy: int) -> None:
         """Handles a proxy that has detached."""
         self.end_snapshot(feed)
@@ -169,12 +179,11 @@
     ) -> None:
         """Adds a proxy of which a snapshot tells that it is attached or, by no state, detached."""
         now = self.now()
-        count = self._event_counts[proxy]
         # The snapshot may include events that another feed has delivered since this one was opened;
         # if it does not, this feed is to deliver them too.
-        is_ambiguous = count > feed.event_counts[proxy]
+        is_ambiguous = self._event_counts[proxy] > feed.event_counts[proxy]
         lag = MAX_EVENT_LAG_TICKS if is_ambiguous else MAX_SNAPSHOT_LAG_TICKS
-        feed.unverified[proxy] = UnverifiedProxy(state, count, was_assigned, now + lag)
+        feed.unverified[proxy] = UnverifiedProxy(state, was_assigned, now + lag)
         feed.snapshot_at = now
         self._verify_proxy(feed, proxy)
 
@@ -198,13 +207,21 @@
         """Verifies a proxy of a snapshot if possible; returns whether a gap had to be ended."""
         now = self.now()
         in_snapshot = feed.unverified[proxy]
-        others = [other for other in self.feeds if other is not feed and other.can_verify(proxy)]
-        if all(other.is_idle(now) for other in others):
-            for other in others:
+        others = [other for other in self.feeds if other is not feed]
+        if in_snapshot.was_verified:
+            # Only the number of its events is in doubt, as long as any other feed may know better.
+            verifiers = [other for other in others if other.is_continuing]
+        else:
+            verifiers = [other for other in others if other.can_verify(proxy)]
+        if all(other.is_idle(now) for other in verifiers):
+            for other in verifiers:
                 other.is_abandoned = True
-            del feed.unverified[proxy]
+            feed.on_verified(proxy)
+            if all(other.is_abandoned for other in others):
+                # No other feed is left that could deliver events from before the snapshot.
+                del feed.recently_verified[proxy]
             return self._end_gap(feed, proxy, in_snapshot)
-        newest = max(other.last_received_at for other in others)
+        newest = max(other.last_received_at for other in verifiers)
         if min(feed.last_received_at, newest) >= in_snapshot.verifiable_at:
             feed.on_verified(proxy)
             self._adopt_count(feed, proxy)
@@ -241,12 +258,11 @@
 
         Returns whether it is assigned again.
         """
-        count = self._event_counts[proxy]
-        has_changed = count > in_snapshot.event_count
-        if proxy not in self.assigned or not (in_snapshot.was_assigned or has_changed):
+        may_precede_gap = in_snapshot.was_assigned or in_snapshot.has_changed
+        if proxy not in self.assigned or not may_precede_gap:
             return False
         if state.is_cold:
-            self._deliver_attach(feed, proxy, count + 2, state)
+            self._deliver_attach(feed, proxy, self._event_counts[proxy] + 2, state)
         else:
             self._listener.on_proxy_desynchronized(proxy)
         return True
--- a/ironfall/platform/proxy_subscription.py
+++ b/ironfall/platform/proxy_subscription.py
@@ -105,8 +105,8 @@
     Attributes:
         has_snapshot: Set once a feed has delivered its snapshot.
         greenlets: The greenlets that read the feeds of the current address.
-        retiring_greenlets: The greenlets of earlier addresses, which continue until a snapshot of
-            the current address is verified.
+        retiring_greenlets: The greenlets of earlier addresses, which continue until a feed of the
+            current address is settled.
     """
 
     def __init__(
@@ -133,7 +133,7 @@
             greenlet.link_exception(self._on_failure)
 
     def change_address(self, address: Address) -> None:
-        """Subscribes at another relay; open feeds continue until a snapshot there is verified."""
+        """Subscribes at another relay; open feeds continue until one there is settled."""
         self._address = address
         self.retiring_greenlets += self.greenlets
         self.start()
@@ -183,7 +183,7 @@
             gevent.sleep(0)  # let other greenlets run: a snapshot may be large
             if not feed.is_in_snapshot:
                 self.has_snapshot.set()
-            if feed.is_verified:
+            if feed.is_settled(self._streams.now()):
                 self._end_retiring_feeds()
         # Nothing that the relay sent before a regular end is missing.
         self._streams.on_received(feed)
--- a/tests/feed_simulation.py
+++ b/tests/feed_simulation.py
@@ -14,6 +14,8 @@
 # Within `MAX_SNAPSHOT_LAG_TICKS` and `MAX_EVENT_LAG_TICKS`.
 SHORT_LAG_STEPS = 2
 LONG_LAG_STEPS = 25
+# After a change of the relay's address, open connections end this much later.
+RETIRING_STEPS = 15
 
 
 class Connection:
@@ -52,7 +54,7 @@
         self.streams = ProxyStreams(self, lambda: self.now)
         self.incarnations, self.cold, self.attached = itertools.count(1), set(), {}
         self.served, self.to_assign, self.events = {}, set(), []
-        self.connections = [None, None]
+        self.connections, self.retiring = [None, None], []
         for proxy in PROXIES:
             self.attach(proxy, cold=True)
         self.wait(5 * PING_STEPS)
@@ -108,6 +110,12 @@
             self.streams.close_feed(self.connections[index].feed)
             self.connections[index] = None
 
+    def change_address(self):
+        """Has the director subscribe anew; its open connections go on until they end, or a new one is settled."""
+        retired_at = self.steps + RETIRING_STEPS
+        self.retiring += [(retired_at, connection) for connection in filter(None, self.connections)]
+        self.connections = [None, None]
+
     def _end_delivery(self, connection):
         if connection.lag_steps > SHORT_LAG_STEPS:
             self._deliver(connection, [event for _, event in connection.under_way])
@@ -134,9 +142,23 @@
                 self.reset(index)
             else:
                 connection.idle_steps += 1
+        self._end_retiring()
         self._deliver_due()
         self._assign()
 
+    def _end_retiring(self):
+        is_settled = any(c.feed.is_settled(self.now) for c in filter(None, self.connections))
+        for retired_at, connection in list(self.retiring):
+            connection.idle_steps += 1
+            has_ended = self.steps >= retired_at and not connection.is_silent
+            if has_ended and not is_settled:
+                # It ends regularly: what was on its way is delivered.
+                self._deliver(connection, [event for _, event in connection.under_way])
+                self.streams.on_received(connection.feed)
+            if has_ended or is_settled or connection.idle_steps >= IDLE_STEPS:
+                self.retiring.remove((retired_at, connection))
+                self.streams.close_feed(connection.feed)
+
     def _connect(self, index):
         if not self.is_reachable:
             return
@@ -146,13 +168,17 @@
             connection.send(self.steps, self._attach_event(proxy))
         connection.send(self.steps, self.streams.end_snapshot)
 
+    def _open_connections(self):
+        retiring = [connection for _, connection in self.retiring]
+        return [*filter(None, self.connections), *retiring]
+
     def _send(self, event):
-        for connection in filter(None, self.connections):
+        for connection in self._open_connections():
             connection.send(self.steps, event)
         self._deliver_due()
 
     def _deliver_due(self):
-        for connection in filter(None, self.connections):
+        for connection in self._open_connections():
             self._deliver(connection, connection.take_due(self.steps))
 
     def _deliver(self, connection, events):
--- a/tests/test_feed_gaps.py
+++ b/tests/test_feed_gaps.py
@@ -120,15 +120,68 @@
     assert simulation.unserved() == set()
 
 
+def test_a_gap_that_was_ended_before_the_late_snapshot_of_another_feed_loses_no_later_return():
+    # The first feed to deliver its snapshot ended the gap; the other then delivered an older one, and the events since.
+    simulation = FeedSimulation(lag_steps=1)
+    simulation.reset(1)
+    simulation.wait(1)
+    simulation.reset(0)
+    simulation.return_(1, cold=False)
+    simulation.wait(1)
+    simulation.return_(1, cold=False)
+    simulation.silence(1)
+    simulation.heal()
+    assert simulation.unserved() == set()
+
+
+def test_a_return_after_a_gap_that_a_silent_feed_ended_by_its_older_state_is_not_lost():
+    # The silent feed had not delivered that the proxy detached, so the next attachment passed for an old event.
+    simulation = FeedSimulation(LONG_LAG_STEPS)
+    simulation.silence(0)
+    simulation.change_address()
+    simulation.set_reachable(False)
+    simulation.wait(9)
+    simulation.set_reachable(True)
+    simulation.wait(4)
+    simulation.silence(0)
+    simulation.detach(1)
+    simulation.wait(2)
+    simulation.change_address()
+    simulation.wait(1)
+    simulation.attach(1, cold=False)
+    simulation.heal()
+    assert simulation.unserved() == set()
+
+
+def test_a_return_after_the_end_of_a_feed_that_had_delivered_late_events_is_not_lost():
+    # The feeds that were left had not counted the late events, so the next attachment passed for one of them.
+    simulation = FeedSimulation(lag_steps=8)
+    simulation.wait(2)
+    simulation.silence(0)
+    simulation.change_address()
+    simulation.return_(1, cold=False)
+    simulation.wait(15)
+    simulation.return_(1, cold=False)
+    simulation.heal()
+    assert simulation.unserved() == set()
+
+
+def test_late_events_of_a_feed_of_an_earlier_address_are_awaited():
+    simulation = FeedSimulation(lag_steps=8)
+    simulation.silence(0)
+    simulation.wait(13)
+    simulation.change_address()
+    simulation.return_(1, cold=False)
+    simulation.heal()
+    assert simulation.unserved() == set()
+
+
 def test_two_new_feeds_do_not_verify_each_other():
     simulation = FeedSimulation()
     simulation.silence(0)
     simulation.silence(1)
     simulation.return_(1, cold=True)
-    # As after a change of the relay's address, while the feeds of the earlier one are open.
-    for _ in range(2):
-        simulation.connections.append(None)
-        simulation.lags += (0,)
+    simulation.change_address()
     simulation.heal()
     assert simulation.unserved() == set()
 
@@ -140,6 +193,7 @@
     st.tuples(st.sampled_from(["silence", "reset"]), st.integers(0, 1)),
     st.tuples(st.just("wait"), st.sampled_from([1, 2, 4, 9, 13])),
     st.tuples(st.just("set_reachable"), st.booleans()),
+    st.tuples(st.just("change_address")),
 )
 
 
@@ -203,13 +257,15 @@
     until(lambda: len(relay.feeds) == 2)
 
 
-def test_feeds_of_an_earlier_address_continue_until_one_of_the_new_is_verified(silent_rig):
-    # A director that closed them with the first snapshot would take it for the end of a gap, and assign all anew.
+def test_feeds_of_an_earlier_address_continue_until_none_can_deliver_late_events(silent_rig):
+    # A director that closed them with the first snapshot took it for the end of a gap, and assigned all anew. One that
+    # closed them once it was verified lost the events that they had not delivered yet.
     old_relay, new_relay = silent_rig.relay, SilentRelay()
     move_to(silent_rig, new_relay)
-    until(lambda: not old_relay.feeds)
     feeds = silent_rig.director.streams.feeds
-    until(lambda: len(feeds) == 2 and all(feed.is_verified for feed in feeds))
+    until(lambda: len(feeds) == 4 and all(feed.is_verified for feed in feeds))
+    assert len(old_relay.feeds) == 2
+    until(lambda: not old_relay.feeds and len(feeds) == 2)
     assert not new_relay.assigned() and silent_rig.director.streams.gap_count == 0
     old_relay.stop()
 
--- a/tests/test_proxy_streams.py
+++ b/tests/test_proxy_streams.py
@@ -3,6 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ironfall.decisions.time_units import SECOND
 from ironfall.platform.proxy_feed import ProxyState
 from ironfall.platform.proxy_streams import ProxyStreams
 
@@ -33,6 +34,11 @@
         self.streams.end_snapshot(feed)
         return feed
 
+    def restart(self, feed, proxy):
+        """Has a feed deliver that a proxy has detached and attached again, without any table."""
+        self.streams.on_detach(feed, proxy)
+        self.streams.on_attach(feed, proxy, ProxyState(0, 1.0, True))
+
     def take_events(self):
         events, self.events = self.events, []
         return events
@@ -124,6 +130,54 @@
     assert listener.take_events() == [("joined", 1)]
 
 
+def test_events_before_a_late_snapshot_count_once_however_long_after_it_they_come():
+    # The other feed had delivered them before the snapshot, and they were counted as part of it.
+    listener = RecordingListener()
+    first = listener.feed(1)
+    listener.now += 10 * SECOND
+    listener.streams.on_received(first)
+    second = listener.streams.open_feed()
+    listener.restart(first, 1)
+    listener.streams.on_attach(second, 1, ProxyState(0, 1.0, False))
+    listener.streams.end_snapshot(second)
+    listener.now += SECOND // 2
+    listener.streams.on_received(first)
+    listener.streams.on_received(second)
+    listener.take_events()
+    listener.restart(second, 1)
+    assert listener.take_events() == []
+
+
+def test_a_feed_that_was_alone_is_not_in_doubt_when_a_later_one_ends():
+    # Its proxies with recent events were assigned anew, though no feed was left that could have missed anything.
+    listener = RecordingListener()
+    first = listener.feed(1)
+    listener.restart(first, 1)
+    listener.streams.assigned.add(1)
+    listener.streams.close_feed(listener.feed(1))
+    assert listener.take_events() == [("joined", 1), ("left", 1), ("joined", 1)]
+
+
+def test_two_feeds_of_which_both_are_in_doubt_verify_each_other():
+    # Neither could, and the proxies with recent events were assigned anew although both feeds went on.
+    listener = RecordingListener()
+    streams = listener.streams
+    feeds = [streams.open_feed(), streams.open_feed()]
+    for feed in feeds:
+        for proxy in (1, 2):
+            streams.on_attach(feed, proxy, ProxyState(0, 1.0, True))
+        streams.end_snapshot(feed)
+    for feed in feeds:
+        listener.restart(feed, 1)
+    streams.assigned |= {1, 2}
+    listener.take_events()
+    for _ in range(5):
+        listener.now += SECOND
+        for feed in feeds:
+            streams.on_received(feed)
+    assert listener.take_events() == [] and all(feed.is_verified for feed in feeds)
+
+
 def test_a_proxy_that_attaches_twice_without_detaching_rejoins_once():
     listener = RecordingListener()
     first, second = listener.feed(1), listener.feed(1)
