Try a call of the coordinators again when its request may have been corrupted on its way

Cause: client.py, _retry_until, took 404, 405, 413 and 431 for final. A coordinator sends them before it verifies the checksum of a request.

Change: such an answer is final when an equal one, reason included, came before in the same call. 400 stays final.

Tests: four new cases in tests/test_keeper.py; 4 failed without the change.

--- a/ironfall/coordinator/client.py
+++ b/ironfall/coordinator/client.py
@@ -27,6 +27,10 @@
 MAX_ANSWER_BYTES = 1 << 26  # bytes
 # Sent without a checksum by the HTTP server, before the coordinator sees the request.
 STATUSES_WITHOUT_CHECKSUM = (408, 413, 429, 431, 503)
+# The request is malformed. The last four are sent before its checksum is verified, so the request
+# may have been corrupted on its way.
+STATUSES_OF_REFUSAL = (400, 404, 405, 413, 431)
+UNVERIFIED_STATUSES_OF_REFUSAL = (404, 405, 413, 431)
 
 
 @dataclass(frozen=True)
@@ -65,6 +69,17 @@
     return secrets.token_hex(4)
 
 
+def _is_final_refusal(answers: Sequence[tuple[int, Any]]) -> bool:
+    """Returns whether the last of the answers, by status and reason, refuses the request for good.
+
+    One sent before the request's checksum was verified must be confirmed by an equal answer.
+    """
+    status, _ = answers[-1]
+    if status in UNVERIFIED_STATUSES_OF_REFUSAL:
+        return answers.count(answers[-1]) > 1
+    return status in STATUSES_OF_REFUSAL
+
+
 class _Connections:
     """A persistent connection to each coordinator, for one greenlet at a time."""
 
@@ -356,6 +371,7 @@
             False,
             0,
         )
+        answers: list[tuple[int, Any]] = []
         while (remaining_s := deadline - self.monotonic()) > 0:
             name = self.leader if self.leader in self.addresses else self.order[0]
             answer, result = self._try_once(
@@ -372,7 +388,8 @@
                 if (final := interpret(answer, result.body)) is not None:
                     self.leader = "" if final.failure else name
                     return final, may_have_arrived
-                if answer.status in (400, 404, 405, 413, 431):
+                answers.append((answer.status, result.body.get("why")))
+                if _is_final_refusal(answers):
                     return CoordinatorAnswer("refused", result.body, last_text), may_have_arrived
                 is_full = answer.status == 429
                 if (
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -449,6 +449,29 @@
     )
 
 
+@pytest.mark.parametrize("status", [404, 405, 413, 431])
+def test_a_refusal_of_a_request_that_may_be_corrupted_is_final_only_when_repeated(status):
+    # A byte that was changed on the way to a coordinator made the path unknown, and the client gave up its proposal.
+    script, requests = [], []
+
+    def handle(request):
+        requests.append(request.path)
+        answer_status, answer = script.pop(0)
+        body = json.dumps(answer).encode()
+        return Answer(answer_status, body, {CHECKSUM_HEADER: answer_checksum(answer_status, body)})
+
+    server = HttpServer(("127.0.0.1", 0), Bounds(9, 4096, 2, 60, 2), handle)
+    server.start()
+    client = CoordinatorClient([("k0", ("127.0.0.1", server.port))], "me", random.Random(3))
+    done = (200, {"index": 5, "answer": {"ok": True}})
+    script[:] = (status, {"why": "no entMies"}), (status, {"why": "no eNtries"}), done
+    assert client.propose({"k": "tick"}).is_accepted and len(requests) == 3
+    script[:] = (status, {"why": "no entries"}), (status, {"why": "no entries"})
+    assert client.propose({"k": "tick"}).failure == "refused" and not script
+    client.close()
+    server.stop()
+
+
 def test_a_proposal_keeps_its_number_until_its_outcome_is_known():
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
     script, received, now = [], [], [0.0]
