Lose no detachment of a proxy after late events of a feed that has ended

Seen, in the last reading of the change: on_attach takes an event in doubt that only matches a number of an ended feed for new, and on_detach did not. A proxy that detached then stayed attached to the director, and its next attachment, however much later, passed for an old event: a return lost. No random order had met it.

Change: on_detach goes by the same rule.

Tests: a case in tests/test_feed_gaps.py, which fails without the change (1 failed) and holds with it; feeds and streams, 72 passed; platform, life, settings and architecture, 88 passed. A trial of the random orders with 4 x 3,000 examples: passed.

--- a/ironfall/platform/proxy_streams.py
+++ b/ironfall/platform/proxy_streams.py
@@ -127,8 +127,14 @@
         self.end_snapshot(feed)
         self._note_change(feed, proxy, None)
         delivered = feed.event_counts.get(proxy, 0)
-        if delivered % 2:
-            self._deliver_detach(feed, proxy, delivered + 1)
+        if not delivered % 2:
+            return
+        number = delivered + 1
+        if proxy in feed.unverified and not self._has_other_delivered(feed, proxy, number):
+            # As in `on_attach`.
+            count = self._event_counts[proxy]
+            number = max(number, count + count % 2)
+        self._deliver_detach(feed, proxy, number)
 
     def on_confirmation(self, feed: Feed, proxy: int, nonce: int) -> None:
         """Handles a proxy that has applied all orders up to those of the nonce's call."""
--- a/tests/test_feed_gaps.py
+++ b/tests/test_feed_gaps.py
@@ -166,6 +166,22 @@
     assert simulation.unserved() == set()
 
 
+def test_a_detachment_after_the_end_of_a_feed_that_had_delivered_late_events_is_not_lost():
+    # It passed for one of the late events, and so did the next attachment, however much later.
+    simulation = FeedSimulation(lag_steps=8)
+    simulation.wait(2)
+    simulation.silence(0)
+    simulation.change_address()
+    simulation.return_(1, cold=False)
+    simulation.wait(15)
+    simulation.detach(1)
+    simulation.heal()
+    assert simulation.streams.attached == set(simulation.attached)
+    simulation.attach(1, cold=True)
+    simulation.heal()
+    assert simulation.unserved() == set()
+
+
 def test_late_events_of_a_feed_of_an_earlier_address_are_awaited():
     simulation = FeedSimulation(lag_steps=8)
     simulation.silence(0)
